--- /dev/null
+++ b/src/net/placeholder.cpp
@@ -0,0 +1,2 @@
+namespace wagtailhitch::detail {
+}
