--- /dev/null
+++ b/src/membership/upstream_table_test.cpp
@@ -0,0 +1,133 @@
+#include "membership/upstream_table.hpp"
+
+#include <gtest/gtest.h>
+
+namespace wagtailhitch {
+namespace {
+
+const failure_domain_id domain{"sierra-a"};
+const upstream_id engine{"e1"};
+
+class upstream_table_test : public testing::Test {
+protected:
+    upstream_table_test()
+    {
+        upstream_spec spec;
+        spec.failure_domain = domain;
+        spec.address = "127.0.0.1:9";
+        spec.slots = 8;
+        table_.set_upstreams({{engine, spec}}, clock_.now());
+        other_.set_upstreams({{engine, spec}}, clock_.now());
+    }
+
+    probe_result answer(std::uint32_t running = 0, bool leaving = false, std::uint64_t run = 1)
+    {
+        probe_result out;
+        out.upstream = engine;
+        out.reachable = true;
+        out.leaving = leaving;
+        out.run = run;
+        out.running = running;
+        return out;
+    }
+    probe_result silence()
+    {
+        probe_result out;
+        out.upstream = engine;
+        return out;
+    }
+    upstream_state state() { return table_.records().at(engine).state; }
+
+    manual_clock clock_;
+    upstream_table table_{vm_id{"a1"}, domain, {}};
+    upstream_table other_{vm_id{"a2"}, domain, {}};
+};
+
+// Guards against new work for an upstream that only one other VM saw leaving.
+TEST_F(upstream_table_test, leaving_reported_by_one_peer_stops_new_work_at_once)
+{
+    table_.apply_probe(answer(), clock_.now());
+    other_.apply_probe(answer(0, true), clock_.now());
+    ASSERT_TRUE(table_.usable(engine, clock_.now()));
+    table_.apply_reports(other_.take_deltas(clock_.now()), clock_.now());
+    EXPECT_FALSE(table_.usable(engine, clock_.now()));
+    // A late probe answer from before the announcement must not revive it.
+    table_.apply_probe(answer(), clock_.now());
+    EXPECT_EQ(state(), upstream_state::leaving);
+    table_.apply_probe(answer(0, false, 2), clock_.now());
+    EXPECT_EQ(state(), upstream_state::healthy);
+}
+
+TEST_F(upstream_table_test, one_lost_probe_only_makes_an_upstream_suspect)
+{
+    table_.apply_probe(answer(), clock_.now());
+    table_.apply_probe(silence(), clock_.now());
+    EXPECT_EQ(state(), upstream_state::suspect);
+    table_.apply_probe(silence(), clock_.now());
+    EXPECT_EQ(state(), upstream_state::down);
+}
+
+// Guards against a flapping upstream that swings the pool with every return.
+TEST_F(upstream_table_test, each_return_within_a_minute_doubles_the_wait)
+{
+    table_.apply_probe(answer(), clock_.now());
+    duration expected_delay = 1s;
+    for (int i = 0; i < 8; ++i) {
+        table_.apply_probe(silence(), clock_.now());
+        table_.apply_probe(silence(), clock_.now());
+        table_.apply_probe(answer(), clock_.now());
+        EXPECT_FALSE(table_.usable(engine, clock_.now() + expected_delay - 1ms));
+        EXPECT_TRUE(table_.usable(engine, clock_.now() + expected_delay));
+        expected_delay = std::min<duration>(expected_delay * 2, 60s);
+    }
+}
+
+// Guards against reports that circulate for ever between VMs that pass them on.
+TEST_F(upstream_table_test, report_passed_back_and_forth_settles)
+{
+    table_.apply_probe(answer(4), clock_.now());
+    auto deltas = table_.take_deltas(clock_.now());
+    EXPECT_EQ(deltas.size(), 1U);
+    int rounds = 0;
+    while (!deltas.empty() && rounds < 10) {
+        clock_.advance(5ms);
+        other_.apply_reports(deltas, clock_.now());
+        deltas = other_.take_deltas(clock_.now());
+        table_.apply_reports(deltas, clock_.now());
+        deltas = table_.take_deltas(clock_.now());
+        ++rounds;
+    }
+    EXPECT_EQ(rounds, 1) << "A report must be passed on once by each VM that learns it.";
+    EXPECT_EQ(other_.records().at(engine).running, 4U);
+}
+
+// Guards against control traffic for changes too small to matter.
+TEST_F(upstream_table_test, unchanged_load_step_sends_nothing)
+{
+    table_.apply_probe(answer(4), clock_.now());
+    table_.take_deltas(clock_.now());
+    table_.apply_probe(answer(4), clock_.now());
+    EXPECT_TRUE(table_.take_deltas(clock_.now()).empty());
+}
+
+// Guards against every VM probing every upstream.
+TEST_F(upstream_table_test, upstream_is_probed_by_two_vms_of_a_small_domain)
+{
+    std::vector<process_id> members;
+    for (int i = 1; i <= 8; ++i) {
+        members.push_back({vm_id{"a" + std::to_string(i)}, 1});
+    }
+    upstream_spec spec;
+    spec.failure_domain = domain;
+    std::size_t probes = 0;
+    for (const auto& member : members) {
+        upstream_table table{member.vm, domain, {}};
+        table.set_upstreams({{engine, spec}}, clock_.now());
+        probes += table.due_probes(members, clock_.now()).size();
+        EXPECT_TRUE(table.due_probes(members, clock_.now()).empty());
+    }
+    EXPECT_EQ(probes, 2U);
+}
+
+} // namespace
+} // namespace wagtailhitch
