--- a/src/membership/upstream_table.cpp
+++ b/src/membership/upstream_table.cpp
@@ -59,7 +59,7 @@
 }
 
 void upstream_table::set_state(const upstream_id& id, upstream_record& record, upstream_state state,
-                               time_point now, std::vector<upstream_change>& changes)
+                               time_point now, std::vector<upstream_change>& changes) const
 {
     if (record.state == state) {
         return;
--- a/src/membership/vm_table.cpp
+++ b/src/membership/vm_table.cpp
@@ -30,7 +30,7 @@
 
 vm_change vm_table::set_state(vm_record& record, vm_state state)
 {
-    const vm_change change{record.process, record.state, state};
+    vm_change change{record.process, record.state, state};
     record.state = state;
     if (is_final(state)) {
         auto& run = dead_runs_[record.process.vm];
