--- a/src/membership/upstream_table.hpp
+++ b/src/membership/upstream_table.hpp
@@ -124,7 +124,7 @@
                        const upstream_report& report, time_point now,
                        std::vector<upstream_change>& changes);
     void set_state(const upstream_id& id, upstream_record& record, upstream_state state,
-                   time_point now, std::vector<upstream_change>& changes);
+                   time_point now, std::vector<upstream_change>& changes) const;
 
     vm_id self_;
     failure_domain_id domain_;
