--- /dev/null
+++ b/src/limits/admission_queue.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "base/error.hpp"
+#include "config/document.hpp"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+// The queue in front of one pool of upstreams.
+//
+//   if (auto queued = queue.offer({token, team, kind, deadline, 900ms}, now); !queued) { ... }
+//   for (const auto& entry : queue.expire(now)) { refuse(entry); }
+//   while (auto entry = queue.next(now)) { dispatch(*entry); }
+//   queue.finished(elapsed, now);      // when a dispatched request ends
+
+namespace wagtailhitch {
+
+struct queue_settings {
+    std::uint32_t capacity{256};     ///< waiting requests
+    std::uint32_t concurrency{16};   ///< dispatched requests at a time
+    double team_capacity_share{0.5}; ///< of `capacity` that one team may fill
+    /// Every nth request is taken from the long class first, so that short ones cannot starve it.
+    std::uint32_t long_turn{8};
+    duration assumed_service{2s}; ///< before any request has finished
+    double smoothing{0.05};       ///< weight of a new observation of the service time
+    /// Part of the remaining time that the expected wait and service may use; the rest covers the
+    /// error of the estimate.
+    double deadline_use{0.9};
+};
+
+struct queue_entry {
+    std::uint64_t token{0}; ///< names the request to the caller of the queue
+    team_id team;
+    request_class kind{request_class::short_request};
+    time_point deadline;
+    duration expected_service{}; ///< 0: the queue's average
+    time_point offered_at;       ///< set by offer()
+};
+
+/// Bounded and deadline-aware; weighted fair between teams by start-time fair queueing on the
+/// expected service time; short before long. A single thread owns it.
+class admission_queue {
+public:
+    explicit admission_queue(queue_settings settings);
+
+    /// Teams without a weight have weight 1.
+    void set_weight(const team_id& team, double weight);
+    void set_concurrency(std::uint32_t limit) { settings_.concurrency = limit; }
+
+    /// Errors, at step admit, not_run, with retry_after: queue_full, deadline_unreachable.
+    expected<void> offer(queue_entry entry, time_point now);
+    /// Takes the next request that can still meet its deadline and counts it as dispatched. Empty
+    /// when none waits or the concurrency is used up. Call expire() first.
+    std::optional<queue_entry> next(time_point now);
+    /// Takes the requests that can no longer meet their deadlines.
+    std::vector<queue_entry> expire(time_point now);
+    /// Removes a waiting request whose caller is gone. False when it does not wait.
+    bool remove(std::uint64_t token);
+    /// A dispatched request ended after `service`. Call once for each entry from next().
+    void finished(duration service, time_point now);
+
+    [[nodiscard]] std::size_t waiting() const { return waiting_; }
+    [[nodiscard]] std::uint32_t dispatched() const { return dispatched_; }
+    /// Expected wait of a request of the class that is offered now.
+    [[nodiscard]] duration expected_wait(const team_id& team, request_class kind) const;
+    /// Average service time.
+    [[nodiscard]] duration mean_service(request_class kind) const;
+
+private:
+    static constexpr std::size_t class_count = 2;
+
+    struct tagged_entry {
+        queue_entry entry;
+        double start{0}; ///< virtual start time
+        double cost{0};  ///< expected service in seconds
+    };
+    struct team_queue {
+        std::deque<tagged_entry> waiting;
+        double last_finish{0};
+        double queued_cost{0};
+    };
+    struct class_queue {
+        std::map<team_id, team_queue> teams;
+        double virtual_time{0};
+        double queued_cost{0};
+        std::size_t waiting{0};
+        duration mean_service{};
+    };
+
+    [[nodiscard]] double weight_of(const team_id& team) const;
+    [[nodiscard]] duration service_of(const queue_entry& entry) const;
+    [[nodiscard]] class_queue& queue_of(request_class kind);
+    [[nodiscard]] const class_queue& queue_of(request_class kind) const;
+    [[nodiscard]] std::size_t waiting_of(const team_id& team) const;
+    [[nodiscard]] bool reachable(const queue_entry& entry, duration wait, time_point now) const;
+    std::optional<queue_entry> take(class_queue& queue);
+    void drop(class_queue& queue, team_queue& team, std::size_t position);
+
+    queue_settings settings_;
+    std::map<team_id, double> weights_;
+    std::array<class_queue, class_count> classes_;
+    std::size_t waiting_{0};
+    std::uint32_t dispatched_{0};
+    std::uint32_t turns_{0};
+};
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/retry/retry_policy.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "base/error.hpp"
+#include "limits/token_bucket.hpp"
+
+#include <cstdint>
+#include <random>
+
+// Whether a failed attempt is followed by another one (design 3.12).
+//
+//   budget.count_request(now);
+//   auto decision = policy.decide(failure, budget, now, generator);
+//   if (decision.action != retry_action::stop) { budget.spend(now); schedule(decision); }
+
+namespace wagtailhitch {
+
+/// `resume`: ask the replica that holds the generation for the tokens from `next_index`.
+/// `restart`: send the request again, to another replica.
+enum class retry_action { stop, resume, restart };
+
+/// Why no attempt follows; `none` when one does.
+enum class retry_refusal {
+    none,
+    may_have_run,
+    not_retryable,
+    attempts_used,
+    budget_used,
+    deadline,
+    already_sent,
+};
+
+template<>
+inline constexpr auto enum_names<retry_refusal> = name_table<retry_refusal, 7>{{
+    {retry_refusal::none, "none"},
+    {retry_refusal::may_have_run, "may_have_run"},
+    {retry_refusal::not_retryable, "not_retryable"},
+    {retry_refusal::attempts_used, "attempts_used"},
+    {retry_refusal::budget_used, "budget_used"},
+    {retry_refusal::deadline, "deadline"},
+    {retry_refusal::already_sent, "already_sent"},
+}};
+
+struct retry_settings {
+    std::uint32_t maximum_retries{2};
+    duration first_back_off{25ms};
+    duration longest_back_off{1s};
+    double budget_share{0.1};   ///< retries per request
+    double budget_floor{1};     ///< retries per second in any case
+    double budget_capacity{10}; ///< retries that may be saved up
+    /// Sends a non-idempotent request again when its attempt provably never began
+    /// (run_state::not_run at step dispatch). Off: such requests are sent once (design 3.5).
+    bool restart_unsent{false};
+};
+
+/// What is known about a failed attempt and its request.
+struct failed_attempt {
+    error_code code{error_code::internal};
+    step at{step::dispatch};
+    run_state run{run_state::outcome_unknown};
+    bool idempotent{false};
+    bool resumable{false};     ///< an engine that holds the generation and is not known to be down
+    bool tokens_sent{false};   ///< the caller has received part of the answer
+    bool resume_failed{false}; ///< a resume of this generation has failed before
+    bool repeatable_answer{true}; ///< tokens carry indexes, so a restart can skip those sent
+    std::uint32_t retries{0};     ///< retries made for the request so far
+    time_point deadline;
+    duration expected_time{}; ///< of another attempt
+};
+
+struct retry_decision {
+    retry_action action{retry_action::stop};
+    duration wait{};
+    retry_refusal refusal{retry_refusal::none};
+};
+
+/// Retries allowed for one pool: a share of its requests, with a floor per second.
+class retry_budget {
+public:
+    retry_budget(const retry_settings& settings, time_point now);
+
+    void count_request(time_point now);
+    [[nodiscard]] bool available(time_point now) const;
+    void spend(time_point now);
+
+private:
+    double share_;
+    double capacity_;
+    double earned_;
+    token_bucket floor_;
+};
+
+/// Decides on retries; keeps no state.
+class retry_policy {
+public:
+    explicit retry_policy(retry_settings settings);
+
+    [[nodiscard]] retry_decision decide(const failed_attempt& failure, const retry_budget& budget,
+                                        time_point now, std::mt19937_64& generator) const;
+    [[nodiscard]] const retry_settings& settings() const { return settings_; }
+
+private:
+    [[nodiscard]] retry_refusal refuse(const failed_attempt& failure) const;
+    [[nodiscard]] duration back_off(std::uint32_t retries, std::mt19937_64& generator) const;
+
+    retry_settings settings_;
+};
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/routing/replica_chooser.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "base/error.hpp"
+#include "routing/link_budget.hpp"
+#include "routing/prefix_index.hpp"
+#include "routing/replica_pool.hpp"
+
+#include <cstdint>
+#include <random>
+#include <span>
+#include <string_view>
+
+// Chooses the replica for one attempt (design 3.9).
+//
+//   auto choice = chooser.choose(pool, prefixes, link, request, now, generator);
+//   if (choice) {
+//       link.spend(choice->link_bytes, now);
+//       auto ticket = pool.begin(choice->replica, now);
+//   }
+
+namespace wagtailhitch {
+
+/// `expected_time` is the default; the others are baselines.
+enum class choice_policy { expected_time, random, round_robin, least_in_flight, two_choices };
+
+template<>
+inline constexpr auto enum_names<choice_policy> = name_table<choice_policy, 5>{{
+    {choice_policy::expected_time, "expected_time"},
+    {choice_policy::random, "random"},
+    {choice_policy::round_robin, "round_robin"},
+    {choice_policy::least_in_flight, "least_in_flight"},
+    {choice_policy::two_choices, "two_choices"},
+}};
+
+struct chooser_settings {
+    choice_policy policy{choice_policy::expected_time};
+    std::uint32_t samples{4};
+    double affinity_load_bound{1.25}; ///< over the mean load of the pool
+    double latency_weight{1};
+    double cost_weight{0};        ///< seconds of first-token time that one money unit is worth
+    double link_cost_per_mb{0};   ///< money units per 10^6 bytes over the paid link
+    double doubtful_value{0.5};   ///< part of a doubtful prefix match that is believed
+    std::uint32_t sharing_vms{1}; ///< VMs that send to the same replicas; see estimate_load()
+    /// Part of the other VMs' work since the report that is assumed to mirror this VM's, 0 to 1.
+    double mirrored_share{0.25};
+    /// The next distance is tried when the best expected first token is later than this.
+    duration spill_after{500ms};
+    duration region_latency{2ms};           ///< one way to other domains of the region
+    duration remote_latency{30ms};          ///< one way to other regions
+    duration base_first_token{30ms};        ///< of an idle standard replica and an empty prompt
+    double prefill_tokens_per_second{8000}; ///< of a standard replica
+    duration assumed_total{2s};             ///< before any attempt has been measured
+    std::uint32_t block_tokens{256};        ///< prompt tokens per prefix block
+};
+
+/// One decision's input. Exactly one of `version` and `service` is set. The caller has checked
+/// that the team may use the version and that it is in force.
+struct choice_request {
+    const version_id* version{nullptr};
+    std::string_view service;
+    std::span<const replica_index> excluded; ///< tried by earlier attempts of the request
+    std::span<const std::uint64_t> prefix_hashes;
+    std::uint32_t prompt_tokens{0};
+    double request_bytes{0};       ///< estimate, sent over the link if the choice is remote
+    double answer_bytes{0};        ///< estimate, returned over the link if the choice is remote
+    double cost_per_1k_input{0};   ///< of the version; prompt tokens in a cache cost nothing
+    duration first_token_target{}; ///< 0: `spill_after` of the settings decides
+};
+
+struct choice {
+    replica_index replica{0};
+    locality distance{locality::domain};
+    duration expected_first_token{};
+    duration predicted{}; ///< without the replica's slowness; goes to attempt_outcome::predicted
+    std::uint32_t prefix_blocks{0};
+    double link_bytes{0}; ///< to be spent from the link budget
+};
+
+/// Requests thought to be at a replica: the lagged report, corrected by own attempts that ended or
+/// were sent since it was measured, scaled for the other VMs that share the replica.
+double estimate_load(const replica_view& replica, const chooser_settings& settings);
+
+/// Chooses replicas. Holds only the round-robin position; allocates nothing on success.
+class replica_chooser {
+public:
+    explicit replica_chooser(chooser_settings settings);
+
+    /// Errors: no_upstream at step route, not_run, when the allowed set is empty; retry_after is
+    /// set when a member of the set is only temporarily out.
+    expected<choice> choose(const replica_pool& pool, const prefix_index& prefixes,
+                            const link_budget& link, const choice_request& request, time_point now,
+                            std::mt19937_64& generator);
+
+    void set_sharing_vms(std::uint32_t count) { settings_.sharing_vms = count; }
+    [[nodiscard]] const chooser_settings& settings() const { return settings_; }
+    /// Expected time until the first token at one replica, slowness included.
+    [[nodiscard]] duration expected_first_token(const replica_pool& pool, replica_index replica,
+                                                std::uint32_t uncached_tokens,
+                                                time_point now) const;
+
+private:
+    struct scope;
+    [[nodiscard]] choice score(const scope& in, replica_index replica, prefix_match match) const;
+    bool search(const scope& in, locality distance, std::mt19937_64& generator, choice& best,
+                double& best_score);
+    void consider(const scope& in, replica_index replica, prefix_match match, choice& best,
+                  double& best_score) const;
+    void consider_prefix_holders(const scope& in, std::span<const replica_index> members,
+                                 locality distance, choice& best, double& best_score) const;
+    [[nodiscard]] error nothing_allowed(const scope& in) const;
+
+    chooser_settings settings_;
+    std::uint64_t round_{0};
+};
+
+} // namespace wagtailhitch
