--- /dev/null
+++ b/src/config/follow.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "config/fold.hpp"
+#include "node/messages.hpp"
+
+#include <deque>
+#include <random>
+#include <variant>
+
+// Decides who reads the log stream `config` and who relays it, and when a VM may serve.
+//
+//   config_follower follower{settings, config_fold{fold_settings}, clock()};
+//   follower.set_members(live, now, out);       // whenever membership changes
+//   follower.on_log(batch, now, out);           // input log_batch
+//   follower.on_request(peer, request, now, out);
+//   follower.tick(now, out);                    // at least every 200 ms
+//   if (follower.readiness(now).ready) { ... }
+//
+// Two VMs of a failure domain read the log; the others ask one of them every second and receive
+// new records as they arrive.
+
+namespace wagtailhitch {
+
+/// Asks a peer for records from an offset; the `log_request` message. `mark` is opaque to the peer
+/// and returns in its answer.
+struct records_request {
+    log_offset from{0};
+    bool snapshot{false}; ///< the records before `from` are lost to the asker
+    std::uint64_t mark{0};
+
+    friend bool operator==(const records_request&, const records_request&) = default;
+};
+
+/// Consecutive records and how far the sender has read; the `log_records` message.
+struct records_message {
+    log_offset next{0}; ///< the sender's folded-through offset
+    log_offset oldest{0};
+    std::vector<log_record> records;
+    bool ready{false};
+    /// How long ago the sender's fold was known to have reached the log's head.
+    std::optional<duration> confirmed_age;
+    std::optional<std::uint64_t> mark; ///< of the request that this answers
+};
+
+struct domain_member {
+    vm_id vm;
+    bool same_domain{true};
+
+    friend bool operator==(const domain_member&, const domain_member&) = default;
+};
+
+// ---- outputs
+
+/// Open or move the long poll on `config`; becomes log_follow.
+struct start_following {
+    log_offset from{0};
+};
+struct stop_following {};
+struct send_request {
+    vm_id peer;
+    records_request message;
+};
+struct send_records {
+    vm_id peer;
+    records_message message;
+};
+/// The peer needs the whole state: the `snapshot` message.
+struct send_snapshot {
+    vm_id peer;
+    config_snapshot snapshot;
+    std::optional<std::uint64_t> mark;
+};
+/// What the fold did with a record, for reports and counters.
+struct fold_event {
+    config_output event;
+};
+
+using follow_output = std::variant<start_following, stop_following, send_request, send_records,
+                                   send_snapshot, fold_event>;
+
+struct config_readiness {
+    bool ready{false};
+    std::string reason; ///< a full sentence while not ready
+};
+
+struct follow_settings {
+    vm_id self;
+    std::uint64_t seed{0};
+    duration poll_interval{std::chrono::seconds{1}};  ///< between requests to a relay
+    duration stale_after{std::chrono::seconds{3}};    ///< then another peer and the log are asked
+    duration cut_off_after{std::chrono::seconds{9}};  ///< then rolling versions stop
+    duration log_grace{std::chrono::seconds{2}};      ///< at boot, before peers alone suffice
+    duration max_log_jitter{std::chrono::seconds{2}}; ///< spreads direct reads of the log
+    std::size_t relays{2};
+    std::size_t cache_records{4096};
+    std::size_t cache_bytes{1024 * 1024};
+};
+
+class config_follower {
+public:
+    using outputs = std::vector<follow_output>;
+
+    config_follower(follow_settings settings, config_fold fold, time_point now);
+
+    /// Live VMs, with or without this one. `listed` counts the other VMs the deployment is known
+    /// to have, also those that do not answer.
+    void set_members(std::vector<domain_member> live, std::size_t listed, time_point now,
+                     outputs& out);
+    void on_log(const log_batch& batch, time_point now, outputs& out);
+    void on_log_failed(time_point now, outputs& out);
+    void on_request(const vm_id& peer, const records_request& request, time_point now,
+                    outputs& out);
+    void on_records(const vm_id& peer, const records_message& message, time_point now,
+                    outputs& out);
+    void on_snapshot(const vm_id& peer, const config_snapshot& snapshot, time_point now,
+                     outputs& out);
+    void tick(time_point now, outputs& out);
+
+    [[nodiscard]] const config_fold& fold() const { return fold_; }
+    /// Once ready, a VM stays ready; see cut_off() for staleness.
+    [[nodiscard]] config_readiness readiness() const;
+    /// When the fold was last known to have reached the log's head.
+    [[nodiscard]] std::optional<time_point> confirmed_at() const { return confirmed_at_; }
+    /// No confirmation for `cut_off_after`: versions with when_cut_off `stop` are not served.
+    [[nodiscard]] bool cut_off(time_point now) const;
+    [[nodiscard]] bool following_log() const { return following_; }
+    [[nodiscard]] bool relay() const;
+
+private:
+    follow_settings settings_;
+    config_fold fold_;
+    bool following_{false};
+    std::optional<time_point> confirmed_at_;
+};
+
+} // namespace wagtailhitch
