--- a/src/base/ring.hpp
+++ b/src/base/ring.hpp
@@ -20,6 +20,21 @@
 /// Messages between two threads that each run one duty.
 inline constexpr std::size_t ring_capacity = 4096;
 
+namespace detail {
+
+/// boost::lockfree::spsc_queue copies what is pushed; this slot turns that one copy into a move,
+/// which spares the allocations of a message's strings on every hop between threads.
+template<typename T> struct ring_slot {
+    explicit ring_slot(T& source) : value{std::move(source)} {}
+    ring_slot(const ring_slot& other) : value{std::move(other.value)} {}
+    ring_slot& operator=(const ring_slot&) = delete;
+    ~ring_slot() = default;
+
+    mutable T value;
+};
+
+} // namespace detail
+
 template<typename T> class ring {
 public:
     /// `wake` runs on the producer's thread after each push; it must not block.
@@ -29,11 +44,15 @@
     }
 
     /// Returns false, and leaves the ring as it was, when the ring is full.
-    [[nodiscard]] bool push(T value)
+    [[nodiscard]] bool push(T value) { return try_push(value); }
+
+    /// Like push(), and leaves `value` as it was when the ring is full.
+    [[nodiscard]] bool try_push(T& value)
     {
-        if (!queue_.push(std::move(value))) {
+        if (queue_.write_available() == 0) {
             return false;
         }
+        queue_.push(detail::ring_slot<T>{value});
         if (wake_) {
             wake_();
         }
@@ -43,12 +62,12 @@
     [[nodiscard]] std::optional<T> pop()
     {
         std::optional<T> out;
-        queue_.consume_one([&out](T& value) { out = std::move(value); });
+        queue_.consume_one([&out](auto& slot) { out = std::move(slot.value); });
         return out;
     }
 
 private:
-    boost::lockfree::spsc_queue<T> queue_;
+    boost::lockfree::spsc_queue<detail::ring_slot<T>> queue_;
     std::function<void()> wake_;
 };
 
--- a/src/net/placeholder.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-namespace wagtailhitch::detail {
-}
