--- /dev/null
+++ b/src/claim/claim_batcher.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "claim/claim_record.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+// The way of claims and outcomes from a request's VM to the log.
+//
+//   claim_outbox outbox{settings};                    // on every VM
+//   outbox.add(item, now);
+//   for (auto& items : outbox.due(now)) { send claim_submit to the domain's writer, or accept() }
+//   outbox.seen(batch);                               // for each record read from the stream
+//
+//   claim_writer writer{settings, first_id};          // on the holder of the duty claim-writer
+//   writer.accept(items);
+//   for (auto& append : writer.due(now, has_authority)) { log_append{...} }
+//   writer.on_result(append, true, now);
+
+namespace wagtailhitch {
+
+struct claim_outbox_settings {
+    std::size_t maximum_items{4096};
+    duration resend_after{1s}; ///< an item not seen on the stream is submitted again
+    duration forget_withdrawn_after{10min};
+    std::size_t maximum_submit_bytes{48 * 1024}; ///< per submission; fits a peer frame
+};
+
+/// A VM's claims and outcomes until they are read back from the stream.
+class claim_outbox {
+public:
+    explicit claim_outbox(claim_outbox_settings settings);
+
+    /// False when the outbox is full; claims only, outcomes are always taken.
+    bool add(claim_item item, time_point now);
+
+    /// The claim's request was refused and is never sent. A claim that still reaches the stream is
+    /// followed by a not_run outcome, which frees the key.
+    void withdraw(const claim_key& key, const request_id& request, time_point now);
+
+    /// Items to submit to the domain's writer now: new ones, and those not seen for too long.
+    std::vector<std::vector<claim_item>> due(time_point now);
+
+    /// The writer changed; everything is submitted again at once.
+    void writer_changed();
+
+    /// Items of this VM that are on the stream are done.
+    void seen(const claim_batch& batch, time_point now);
+
+    [[nodiscard]] std::size_t size() const { return pending_.size(); }
+    [[nodiscard]] bool empty() const { return pending_.empty(); }
+
+private:
+    using item_id = std::pair<request_id, std::size_t>; // second: alternative of claim_item
+    struct pending_item {
+        claim_item item;
+        time_point submit_at;
+    };
+
+    void add_release(const claim_key& key, const request_id& request, time_point now);
+
+    claim_outbox_settings settings_;
+    std::map<item_id, pending_item> pending_;
+    std::map<request_id, time_point> withdrawn_;
+};
+
+struct claim_writer_settings {
+    duration minimum_interval{50ms};            ///< 20 batches per second
+    std::size_t maximum_queue{16'384};          ///< items
+    std::size_t maximum_batch_bytes{60 * 1024}; ///< below the log's record bound of 64 KiB
+    std::size_t maximum_in_flight{4};           ///< batches without a reply
+    duration reply_timeout{2s};                 ///< then the same batch is appended again
+    duration retry_after{250ms};                ///< after a failed append
+};
+
+/// One record to append to the stream `claims`. Repeats carry the same batch id and data.
+struct claim_append {
+    std::uint64_t batch{0};
+    std::string data;
+};
+
+/// The domain's writer: combines submissions of all VMs of the domain into few records.
+class claim_writer {
+public:
+    /// Batch ids count up from `first_batch`.
+    claim_writer(claim_writer_settings settings, std::uint64_t first_batch);
+
+    /// Queues items that are not queued or in flight already; the number that found no place is
+    /// returned. Their VMs submit them again.
+    std::size_t accept(std::vector<claim_item> items);
+
+    /// Appends to send now. Without authority (another VM is the writer) everything is dropped;
+    /// the VMs submit again to the new writer.
+    std::vector<claim_append> due(time_point now, bool authority);
+
+    /// Reply to an append. `stored` false covers every failure, also one that may have taken
+    /// effect: the batch is appended again, and the fold ignores the repeat.
+    void on_result(std::uint64_t batch, bool stored, time_point now);
+
+    [[nodiscard]] std::size_t queued() const { return queue_.size(); }
+    [[nodiscard]] std::size_t in_flight() const { return in_flight_.size(); }
+
+private:
+    using item_id = std::pair<request_id, std::size_t>;
+    struct sent_batch {
+        std::string data;
+        std::vector<item_id> ids;
+        time_point send_again_at;
+    };
+
+    std::optional<claim_append> repeat(time_point now);
+    claim_append next_batch(time_point now);
+
+    claim_writer_settings settings_;
+    std::uint64_t next_batch_;
+    time_point next_send_{};
+    std::deque<claim_item> queue_;
+    std::set<item_id> known_; // queued and in flight
+    std::map<std::uint64_t, sent_batch> in_flight_;
+};
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/claim/claim_flow.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "base/error.hpp"
+#include "claim/claim_record.hpp"
+#include "claim/claim_table.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+// The course of one request with an idempotency key.
+//
+//   claim_flow flow{request, settings};
+//   claim_action action = flow.start(table, log, now, wall_ms);
+//   // submit: outbox.add(action.claim); then, after every read of the stream and at every tick:
+//   action = flow.advance(table, log, now);
+//   // send: dispatch the request now; later one of
+//   outbox.add(flow.answered(status, content_type, payload));
+//   outbox.add(flow.failed(run_state::outcome_unknown));
+
+namespace wagtailhitch {
+
+struct claim_flow_settings {
+    /// Without a confirmed read for this time the log counts as unavailable.
+    duration log_unavailable_after{3s};
+};
+
+/// A keyed request whose caller is authenticated. The deadline bounds every wait.
+struct keyed_request {
+    team_id team;
+    std::string idempotency_key;
+    std::uint64_t request_digest{0};
+    request_id request;
+    bool first_use{false}; ///< the caller states that the key was not used before
+    time_point arrived;
+    time_point deadline;
+};
+
+/// What the VM knows about its fold of the stream `claims`.
+struct claims_confirmation {
+    time_point confirmed_at{}; ///< send time of the latest read that reached the log's head
+};
+
+/// wait: nothing to do yet. submit: append `claim`. send: dispatch the request, exactly once.
+/// answer: give the stored answer. refuse: give `reason`; with `withdraw` the claim was submitted
+/// and must be withdrawn from the outbox.
+enum class claim_action_kind { wait, submit, send, answer, refuse };
+
+struct claim_action {
+    claim_action_kind kind{claim_action_kind::wait};
+    claim_record claim;
+    unsigned status{0};
+    std::string content_type;
+    std::string payload;
+    error reason;
+    bool withdraw{false};
+};
+
+class claim_flow {
+public:
+    claim_flow(keyed_request request, claim_flow_settings settings);
+
+    /// First decision. `wall_ms`: Unix milliseconds.
+    /// Refusals: key_expired (outcome_unknown), key_mismatch (not_run), claim_unavailable and
+    /// key_in_use as in advance().
+    claim_action start(const claim_table& table, const claims_confirmation& log, time_point now,
+                       std::int64_t wall_ms);
+
+    /// Next decision; call it after each change of the table and at each tick. After send, answer
+    /// or refuse it returns wait.
+    /// Refusals: claim_unavailable (the log is away, or the claim was not read back before the
+    /// deadline; not_run if that is certain, else outcome_unknown), key_in_use (another request
+    /// with the key still runs at the deadline, or its owner is gone; outcome_unknown).
+    claim_action advance(const claim_table& table, const claims_confirmation& log, time_point now);
+
+    /// The caller has gone before the request was sent. True when a claim was submitted and must
+    /// be withdrawn from the outbox. The flow is over.
+    bool abandon();
+
+    /// The outcome to append after the sent request was answered.
+    outcome_record answered(unsigned status, std::string content_type, std::string payload);
+    /// The outcome to append after the sent request failed; not_run frees the key.
+    outcome_record failed(run_state run);
+
+    [[nodiscard]] const claim_key& key() const { return key_; }
+    [[nodiscard]] const keyed_request& request() const { return request_; }
+    [[nodiscard]] bool sent() const { return phase_ == flow_phase::sent; }
+    [[nodiscard]] bool over() const;
+
+private:
+    enum class flow_phase { idle, submitted, sent, over };
+
+    claim_action claimed_by_other(const claim_state& state, time_point now);
+    claim_action not_read_back(const claims_confirmation& log, time_point now);
+    claim_action refuse(error_code code, run_state run, std::string detail);
+    claim_action submit(std::int64_t wall_ms);
+    claim_action send_or_give_up(time_point now);
+    [[nodiscard]] bool not_run_is_certain(const claims_confirmation& log) const;
+
+    keyed_request request_;
+    claim_flow_settings settings_;
+    claim_key key_;
+    flow_phase phase_{flow_phase::idle};
+    std::int64_t claimed_ms_{0};
+};
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/claim/detail/claim_index.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace wagtailhitch::detail {
+
+/// Open-addressing hash index from a key's hash to an entry number. It keeps 4 bytes per slot and
+/// is at most 3/4 full; keys are compared through the caller's entries.
+class claim_index {
+public:
+    using matcher = std::function<bool(std::uint32_t)>;
+    using hasher = std::function<std::uint64_t(std::uint32_t)>;
+
+    [[nodiscard]] std::optional<std::uint32_t> find(std::uint64_t hash, const matcher& same) const;
+    /// The key must be absent. `hash_of` gives the hash of an entry that is already in the index.
+    void insert(std::uint64_t hash, std::uint32_t number, const hasher& hash_of);
+    void erase(std::uint64_t hash, std::uint32_t number, const hasher& hash_of);
+
+    [[nodiscard]] std::size_t memory_bytes() const { return slots_.capacity() * sizeof slots_[0]; }
+
+private:
+    void grow(const hasher& hash_of);
+    void place(std::uint64_t hash, std::uint32_t number);
+    [[nodiscard]] std::size_t next(std::size_t slot) const { return (slot + 1) & mask_; }
+
+    std::vector<std::uint32_t> slots_; // entry number + 1 modulo 2^32; 0 is empty
+    std::size_t mask_{0};
+    std::size_t used_{0};
+};
+
+} // namespace wagtailhitch::detail
--- /dev/null
+++ b/src/lease/lease_keeper.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "base/clock.hpp"
+#include "lease/lease_record.hpp"
+#include "lease/lease_table.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+// One VM's side of one lease.
+//
+//   lease_keeper keeper{"rollout", self, settings};
+//   if (auto record = keeper.tick(table, members, now)) { append it; the reply is not needed }
+//   keeper.on_record(record, table.apply(offset, record), now);   // every record of the stream
+//   if (auto fencing = keeper.authority(clock())) { act, now }
+
+namespace wagtailhitch {
+
+struct lease_settings {
+    duration term{6s};
+    duration margin{1s};
+    double drift{0.01}; ///< allowance for clocks that run at different rates
+    duration renew_interval{2s};
+    duration append_again{2s};       ///< an acquire or release that was not read back is sent again
+    duration contention_step{500ms}; ///< a contender of rank n waits n steps longer
+    std::size_t maximum_rank{4};
+};
+
+class lease_keeper {
+public:
+    lease_keeper(std::string duty, process_id self, lease_settings settings);
+
+    /// The record to append now, if any. `candidates`: the live VMs that may hold the duty; this VM
+    /// contends only while it is among them. The caller reads the clock immediately before the
+    /// call and appends the record afterwards: authority counts from `now`.
+    std::optional<lease_record> tick(const lease_table& table, const std::vector<vm_id>& candidates,
+                                     time_point now);
+
+    /// A record of this duty was folded. Authority is extended only here, never by the reply to an
+    /// append, because a reply can be lost.
+    void on_record(const lease_record& record, bool accepted, time_point now);
+
+    /// Gives the duty up: there is no authority from now on, and the next tick appends a release.
+    void give_up();
+    /// Contends again after give_up().
+    void resume();
+
+    /// The fencing number while this process may act. Check it at the moment of sending.
+    [[nodiscard]] std::optional<fencing_number> authority(time_point now) const;
+    [[nodiscard]] time_point authority_until() const { return authority_until_; }
+    /// This process held the lease and has lost it to another, or its authority has lapsed.
+    [[nodiscard]] bool lost(time_point now) const;
+    [[nodiscard]] const std::string& duty() const { return duty_; }
+
+private:
+    std::optional<lease_record> holder_step(const lease_state& lease, time_point now);
+    std::optional<lease_record>
+    contender_step(const lease_table& table, const std::vector<vm_id>& candidates, time_point now);
+    lease_record make_record(lease_operation operation, std::optional<log_offset> predecessor,
+                             fencing_number fencing, time_point now);
+    [[nodiscard]] std::optional<std::size_t> rank(const std::vector<vm_id>& candidates) const;
+
+    std::string duty_;
+    process_id self_;
+    lease_settings settings_;
+    std::uint64_t next_nonce_{1};
+    std::map<std::uint64_t, time_point> sent_; // nonce -> time read before sending
+    std::optional<time_point> first_tick_;
+    time_point latest_read_{}; // when this VM read the duty's latest accepted record
+    time_point next_append_{};
+    time_point authority_until_{};
+    fencing_number fencing_{0};
+    bool giving_up_{false};
+};
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/lease/lease_record.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "base/error.hpp"
+#include "base/ids.hpp"
+#include "base/names.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+// Records of the stream `leases`, one lease operation each.
+//
+//   std::string data = encode_lease_record({lease_operation::acquire, "rollout", self, 41, 0, 1});
+
+namespace wagtailhitch {
+
+inline constexpr std::string_view leases_stream = "leases";
+
+enum class lease_operation : std::uint8_t { acquire, renew, release };
+
+template<>
+inline constexpr auto enum_names<lease_operation> = name_table<lease_operation, 3>{{
+    {lease_operation::acquire, "acquire"},
+    {lease_operation::renew, "renew"},
+    {lease_operation::release, "release"},
+}};
+
+/// Increases with every change of holder; 0 is none. The offset of the acquire + 1.
+using fencing_number = std::uint64_t;
+
+struct lease_record {
+    lease_operation operation{lease_operation::acquire};
+    std::string duty;
+    process_id holder;
+    /// Offset of the duty's latest accepted record as the writer knew it. A writer that knows none
+    /// names the last offset before its fold began; nothing when its fold began at 0.
+    std::optional<log_offset> predecessor;
+    fencing_number fencing{0}; ///< renew and release: the number of the lease
+    std::uint64_t nonce{0};    ///< of the holder; tells apart the records of one process
+
+    friend bool operator==(const lease_record&, const lease_record&) = default;
+};
+
+std::string encode_lease_record(const lease_record& record);
+/// Errors: malformed_request.
+expected<lease_record> decode_lease_record(std::string_view data);
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/session/ticket.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "base/error.hpp"
+#include "base/ids.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <string_view>
+
+// Tickets: a non-idempotent request runs only in the process that its ticket names.
+//
+//   ticket_table table{self, settings};
+//   std::string text = issue_ticket(key, table.issue(team, wall_ms));
+//   auto ticket = verify_ticket(key, text);
+//   switch (table.begin(*ticket, team, digest, owner_gone).kind) { ... }
+//   table.finish(ticket->sequence, answer);
+
+namespace wagtailhitch {
+
+struct ticket {
+    process_id owner;
+    std::uint64_t sequence{0}; ///< from 1, per owner
+    team_id team;
+    std::int64_t issued_ms{0}; ///< Unix milliseconds
+
+    friend bool operator==(const ticket&, const ticket&) = default;
+};
+
+std::string issue_ticket(std::string_view key, const ticket& content);
+
+/// Errors: ticket_invalid (not_run) when the text is malformed or not authenticated by `key`.
+expected<ticket> verify_ticket(std::string_view key, std::string_view text);
+
+struct ticket_settings {
+    std::size_t window{65'536};                 ///< newest tickets that can be used
+    std::size_t maximum_answer_bytes{4096};     ///< larger answers are not kept
+    std::size_t answers_bytes{8 * 1024 * 1024}; ///< of all kept answers
+};
+
+/// The answer of a finished ticket, kept for repeats.
+struct ticket_answer_record {
+    unsigned status{0};
+    std::string content_type;
+    std::string payload;
+
+    friend bool operator==(const ticket_answer_record&, const ticket_answer_record&) = default;
+};
+
+/// forward: send the request to the owner. run: run it here, once. repeat: answer from `answer`.
+/// refuse: answer with `reason`.
+enum class ticket_verdict { run, forward, repeat, refuse };
+
+struct ticket_decision {
+    ticket_verdict kind{ticket_verdict::refuse};
+    ticket_answer_record answer;
+    error reason;
+};
+
+/// Tickets issued and run by this process. The state of every ticket in the window is kept; an
+/// older ticket is never run, because it cannot be told whether it ran.
+class ticket_table {
+public:
+    ticket_table(process_id self, ticket_settings settings);
+
+    ticket issue(const team_id& team, std::int64_t wall_ms);
+
+    /// Decides on a request with a verified ticket and marks a ticket that is to run as running.
+    /// `owner_gone`: the owner's incarnation is known to have left or been removed.
+    /// Refusals: ticket_invalid (other team, not_run), key_mismatch (the ticket was used for a
+    /// request with another digest; not_run), key_in_use (running; outcome_unknown),
+    /// ticket_owner_gone (outcome_unknown), ticket_invalid with outcome_unknown (older than the
+    /// window).
+    ticket_decision begin(const ticket& used, const team_id& team, std::uint64_t request_digest,
+                          bool owner_gone);
+
+    /// Keeps the answer for repeats.
+    void finish(std::uint64_t sequence, ticket_answer_record answer);
+    /// The run ended without an answer. With not_run the ticket may be used again.
+    void fail(std::uint64_t sequence, run_state run);
+
+    [[nodiscard]] std::size_t answers_bytes() const { return bytes_; }
+    [[nodiscard]] std::size_t size() const { return slots_.size(); }
+
+private:
+    enum class slot_state : std::uint8_t { unused, running, finished, unknown };
+    struct slot {
+        std::uint64_t digest{0};
+        slot_state state{slot_state::unused};
+    };
+    struct kept_answer {
+        std::uint64_t sequence{0};
+        ticket_answer_record answer;
+    };
+
+    [[nodiscard]] slot* find(std::uint64_t sequence);
+    [[nodiscard]] ticket_decision repeat(std::uint64_t sequence) const;
+    void drop_oldest_answer();
+
+    process_id self_;
+    ticket_settings settings_;
+    std::uint64_t first_{1}; // sequence of slots_.front()
+    std::deque<slot> slots_;
+    std::deque<kept_answer> answers_; // in order of completion
+    std::size_t bytes_{0};
+};
+
+} // namespace wagtailhitch
