Compose the decisions of one VM in node_core

node_core joins configuration, streams, membership, bills and the life of chat and service requests.

--- a/src/membership/upstream_table.cpp
+++ b/src/membership/upstream_table.cpp
@@ -6,6 +6,42 @@
 
 namespace wagtailhitch {
 
+namespace {
+
+void set_state(const upstream_id& id, upstream_record& record, upstream_state state,
+               std::vector<upstream_change>& changes)
+{
+    if (record.state == state) {
+        return;
+    }
+    changes.push_back({id, record.state, state});
+    record.state = state;
+}
+
+void note_change(upstream_record& record)
+{
+    ++record.number;
+    record.changed = true;
+}
+
+void apply_leaving(const upstream_id& id, upstream_record& record, const upstream_report& report,
+                   std::vector<upstream_change>& changes)
+{
+    if (record.leaving_known && report.run <= record.left_run) {
+        return;
+    }
+    record.leaving_known = true;
+    record.left_run = report.run;
+    record.changed = true;
+    if (record.run <= record.left_run) {
+        record.run = report.run;
+        record.number = std::max(record.number, report.number);
+        set_state(id, record, upstream_state::leaving, changes);
+    }
+}
+
+} // namespace
+
 upstream_table::upstream_table(vm_id self, failure_domain_id domain,
                                upstream_table_settings settings)
     : self_{std::move(self)}, domain_{std::move(domain)}, settings_{settings}
@@ -58,32 +94,6 @@
     return out;
 }
 
-void upstream_table::set_state(const upstream_id& id, upstream_record& record, upstream_state state,
-                               time_point now, std::vector<upstream_change>& changes) const
-{
-    if (record.state == state) {
-        return;
-    }
-    changes.push_back({id, record.state, state});
-    const bool returns = state == upstream_state::healthy && record.state == upstream_state::down;
-    if (returns) {
-        const bool flapping = record.return_delay > duration::zero() &&
-                              now - record.returned_at < settings_.flap_window;
-        record.return_delay =
-            flapping ? std::min(record.return_delay * 2, settings_.longest_return_delay)
-                     : settings_.first_return_delay;
-        record.returned_at = now;
-        record.usable_from = now + record.return_delay;
-    }
-    record.state = state;
-}
-
-void upstream_table::note_change(upstream_record& record)
-{
-    ++record.number;
-    record.changed = true;
-}
-
 std::vector<upstream_change> upstream_table::apply_probe(const probe_result& result, time_point now)
 {
     std::vector<upstream_change> changes;
@@ -96,8 +106,7 @@
         ++record.failed_probes;
         const bool down = record.failed_probes >= settings_.failures_to_down;
         if (record.state != upstream_state::leaving) {
-            set_state(id, record, down ? upstream_state::down : upstream_state::suspect, now,
-                      changes);
+            set_state(id, record, down ? upstream_state::down : upstream_state::suspect, changes);
         }
         record.observed_at = now;
         if (!changes.empty()) {
@@ -118,31 +127,13 @@
         record.left_run = std::max(record.left_run, result.run);
     }
     const bool leaving = record.leaving_known && result.run <= record.left_run;
-    set_state(id, record, leaving ? upstream_state::leaving : upstream_state::healthy, now,
-              changes);
+    set_state(id, record, leaving ? upstream_state::leaving : upstream_state::healthy, changes);
     if (!changes.empty() || loaded_changed || load_step(record) != step_before) {
         note_change(record);
     }
     return changes;
 }
 
-void upstream_table::apply_leaving(const upstream_id& id, upstream_record& record,
-                                   const upstream_report& report, time_point now,
-                                   std::vector<upstream_change>& changes)
-{
-    if (record.leaving_known && report.run <= record.left_run) {
-        return;
-    }
-    record.leaving_known = true;
-    record.left_run = report.run;
-    record.changed = true;
-    if (record.run <= record.left_run) {
-        record.run = report.run;
-        record.number = std::max(record.number, report.number);
-        set_state(id, record, upstream_state::leaving, now, changes);
-    }
-}
-
 std::vector<upstream_change>
 upstream_table::apply_reports(const std::vector<upstream_report>& reports, time_point now)
 {
@@ -154,7 +145,7 @@
         }
         auto& [id, record] = *it;
         if (report.state == upstream_state::leaving) {
-            apply_leaving(id, record, report, now, changes);
+            apply_leaving(id, record, report, changes);
             continue;
         }
         const bool left = record.leaving_known && report.run <= record.left_run;
@@ -171,7 +162,7 @@
         record.waiting = 0;
         record.loaded = report.loaded;
         record.changed = true;
-        set_state(id, record, report.state, now, changes);
+        set_state(id, record, report.state, changes);
     }
     return changes;
 }
@@ -221,11 +212,4 @@
     return out;
 }
 
-bool upstream_table::usable(const upstream_id& upstream, time_point now) const
-{
-    const auto it = records_.find(upstream);
-    return it != records_.end() && it->second.state == upstream_state::healthy &&
-           it->second.usable_from <= now;
-}
-
 } // namespace wagtailhitch
--- a/src/membership/upstream_table.hpp
+++ b/src/membership/upstream_table.hpp
@@ -20,7 +20,7 @@
 //   auto deltas = table.take_deltas(now);          // for the next heartbeat
 //
 // `leaving` from any one source takes effect at once and is final for that incarnation of the
-// upstream. An upstream that returns to healthy again and again waits longer each time.
+// upstream. routing/replica_pool.hpp damps upstreams that flap.
 
 namespace wagtailhitch {
 
@@ -39,10 +39,6 @@
     duration probe_interval{1s};
     /// Probes that must fail in a row before an upstream is taken for down.
     std::uint32_t failures_to_down{2};
-    duration first_return_delay{1s};
-    duration longest_return_delay{60s};
-    /// Returns further apart than this do not count as flapping.
-    duration flap_window{60s};
     std::size_t probers{2};
     std::size_t probers_in_large_domain{3};
     std::size_t large_domain{10};
@@ -73,9 +69,6 @@
     time_point observed_at;
     time_point next_probe;
     std::uint32_t failed_probes{0};
-    time_point usable_from; ///< start of new work after a return
-    time_point returned_at;
-    duration return_delay{};
     std::uint64_t left_run{0}; ///< incarnation that was said to be leaving; final
     bool leaving_known{false};
     std::uint64_t number{0};
@@ -109,8 +102,6 @@
     [[nodiscard]] std::vector<upstream_report> all_reports(time_point now) const;
 
     // Queries.
-    /// True when new work may be sent.
-    [[nodiscard]] bool usable(const upstream_id& upstream, time_point now) const;
     [[nodiscard]] const std::map<upstream_id, upstream_record>& records() const { return records_; }
 
 private:
@@ -119,12 +110,6 @@
     [[nodiscard]] std::uint32_t load_step(const upstream_record& record) const;
     [[nodiscard]] upstream_report report(const upstream_id& id, const upstream_record& record,
                                          time_point now) const;
-    void note_change(upstream_record& record);
-    void apply_leaving(const upstream_id& id, upstream_record& record,
-                       const upstream_report& report, time_point now,
-                       std::vector<upstream_change>& changes);
-    void set_state(const upstream_id& id, upstream_record& record, upstream_state state,
-                   time_point now, std::vector<upstream_change>& changes) const;
 
     vm_id self_;
     failure_domain_id domain_;
--- a/src/membership/upstream_table_test.cpp
+++ b/src/membership/upstream_table_test.cpp
@@ -48,9 +48,9 @@
 {
     table_.apply_probe(answer(), clock_.now());
     other_.apply_probe(answer(0, true), clock_.now());
-    ASSERT_TRUE(table_.usable(engine, clock_.now()));
+    ASSERT_EQ(state(), upstream_state::healthy);
     table_.apply_reports(other_.take_deltas(clock_.now()), clock_.now());
-    EXPECT_FALSE(table_.usable(engine, clock_.now()));
+    EXPECT_EQ(state(), upstream_state::leaving);
     // A late probe answer from before the announcement must not revive it.
     table_.apply_probe(answer(), clock_.now());
     EXPECT_EQ(state(), upstream_state::leaving);
@@ -67,21 +67,6 @@
     EXPECT_EQ(state(), upstream_state::down);
 }
 
-// Guards against a flapping upstream that swings the pool with every return.
-TEST_F(upstream_table_test, each_return_within_a_minute_doubles_the_wait)
-{
-    table_.apply_probe(answer(), clock_.now());
-    duration expected_delay = 1s;
-    for (int i = 0; i < 8; ++i) {
-        table_.apply_probe(silence(), clock_.now());
-        table_.apply_probe(silence(), clock_.now());
-        table_.apply_probe(answer(), clock_.now());
-        EXPECT_FALSE(table_.usable(engine, clock_.now() + expected_delay - 1ms));
-        EXPECT_TRUE(table_.usable(engine, clock_.now() + expected_delay));
-        expected_delay = std::min<duration>(expected_delay * 2, 60s);
-    }
-}
-
 // Guards against reports that circulate for ever between VMs that pass them on.
 TEST_F(upstream_table_test, report_passed_back_and_forth_settles)
 {
--- /dev/null
+++ b/src/node/membership_control.cpp
@@ -0,0 +1,225 @@
+#include "node/membership_control.hpp"
+
+#include <algorithm>
+
+namespace wagtailhitch {
+
+namespace {
+
+replica_health health_of(upstream_state state)
+{
+    switch (state) {
+    case upstream_state::healthy:
+    case upstream_state::suspect: // one lost probe is not yet a reason to move all work
+        return replica_health::usable;
+    case upstream_state::leaving:
+        return replica_health::leaving;
+    case upstream_state::down:
+        return replica_health::down;
+    case upstream_state::unknown:
+        break;
+    }
+    return replica_health::unknown;
+}
+
+// A VM that has just been heard for the first time gets all reports, not only the changes.
+bool is_new(const vm_change& change)
+{
+    return change.to == vm_state::alive && change.from == vm_state::listed;
+}
+
+} // namespace
+
+membership_control::membership_control(core_state& state) : state_{state} {}
+
+void membership_control::apply(const std::vector<vm_change>& changes)
+{
+    for (const auto& change : changes) {
+        state_.counters.count("membership_changes_total", {{"to", std::string{name_of(change.to)}}})
+            .add();
+        membership_changed_ = true;
+        if (change.to == vm_state::left || change.to == vm_state::removed) {
+            state_.claims.process_gone(change.process);
+            state_.bills.process_gone(change.process);
+        }
+        if (is_new(change)) {
+            next_heartbeat_ = time_point{};
+        }
+    }
+}
+
+void membership_control::refresh_topology()
+{
+    if (!membership_changed_) {
+        return;
+    }
+    membership_changed_ = false;
+    std::vector<vm_id> domain_peers;
+    for (const auto& member : state_.vms.domain_members()) {
+        if (member.vm != state_.self().vm) {
+            domain_peers.push_back(member.vm);
+        }
+    }
+    state_.bills.set_peers(domain_peers);
+    const auto vms = static_cast<std::uint32_t>(domain_peers.size() + 1);
+    state_.chooser.set_sharing_vms(vms);
+}
+
+void membership_control::on_vm_list(const vm_list& list, time_point now)
+{
+    apply(state_.vms.apply_vm_list(list, now));
+    membership_changed_ = true;
+}
+
+void membership_control::on_heartbeat(const peer_frame& frame, const heartbeat_message& message,
+                                      time_point now, std::vector<output>& out)
+{
+    if (state_.vms.is_dead(frame.from)) {
+        state_.send(frame.from.vm, peer_message_kind::ended, ended_message{frame.from.run}, out);
+        return;
+    }
+    apply(state_.vms.apply_gossip(message.members, now));
+    auto& view = peers_[frame.from.vm];
+    view = {frame.from, frame.failure_domain, message.in_force, std::nullopt, message.ready, now};
+    if (message.confirmed_age) {
+        view.confirmed_at = now - *message.confirmed_age;
+    }
+    apply(state_.upstreams.apply_reports(message.upstreams, now), now);
+    for (const auto& report : message.upstreams) {
+        update_pool(report.upstream, now);
+    }
+    for (const auto& share : message.shares) {
+        state_.pool.merge_share(share, now);
+    }
+    for (const auto& cell : message.ratings) {
+        state_.sufficiency.merge(cell);
+    }
+}
+
+void membership_control::on_ended(const ended_message& message)
+{
+    if (message.run != state_.self().run || state_.stopping) {
+        return;
+    }
+    state_.counters.count("incarnations_renewed_total").add();
+    state_.vms.renew_incarnation(state_.settings.new_incarnation());
+}
+
+void membership_control::apply(const std::vector<upstream_change>& changes, time_point now)
+{
+    for (const auto& change : changes) {
+        state_.counters.count("upstream_changes_total", {{"to", std::string{name_of(change.to)}}})
+            .add();
+        // A change of state is worth a heartbeat of its own: leaving must be known within 3 s.
+        next_heartbeat_ = time_point{};
+        update_pool(change.upstream, now);
+    }
+}
+
+void membership_control::update_pool(const upstream_id& id, time_point now)
+{
+    const auto it = state_.upstreams.records().find(id);
+    if (it == state_.upstreams.records().end()) {
+        return;
+    }
+    const auto& record = it->second;
+    state_.pool.set_health(id, health_of(record.state), record.run, now);
+    if (record.state == upstream_state::healthy) {
+        state_.pool.report_load(id, {record.running, record.waiting, now - record.observed_at},
+                                now);
+        if (record.spec.kind == upstream_kind::engine) {
+            state_.pool.set_loaded(id, record.loaded);
+        }
+    }
+}
+
+void membership_control::on_probe(const probe_result& result, time_point now)
+{
+    apply(state_.upstreams.apply_probe(result, now), now);
+    update_pool(result.upstream, now);
+}
+
+void membership_control::on_cache_events(const cache_events& events)
+{
+    const auto index = state_.pool.find(events.upstream);
+    if (!index) {
+        return;
+    }
+    if (events.gap) {
+        state_.prefixes.gap(*index);
+    }
+    state_.prefixes.stored(*index, events.stored);
+    state_.prefixes.evicted(*index, events.evicted);
+}
+
+void membership_control::on_configuration(time_point now)
+{
+    state_.upstreams.set_upstreams(state_.doc->upstreams, now);
+    state_.pool.configure(state_.doc->upstreams, now);
+    for (const auto& [id, record] : state_.upstreams.records()) {
+        update_pool(id, now);
+    }
+}
+
+heartbeat_message membership_control::heartbeat(time_point now) const
+{
+    heartbeat_message out;
+    out.members = state_.vms.gossip();
+    out.in_force = state_.configuration.fold().current_revision();
+    if (const auto confirmed = state_.configuration.confirmed_at()) {
+        out.confirmed_age = now - *confirmed;
+    }
+    out.ready = state_.ready();
+    return out;
+}
+
+void membership_control::send_heartbeats(time_point now, std::vector<output>& out)
+{
+    const auto summary = heartbeat(now);
+    if (now >= next_heartbeat_) {
+        next_heartbeat_ = now + state_.settings.heartbeat_interval;
+        auto message = summary;
+        message.upstreams = state_.upstreams.take_deltas(now);
+        message.shares = state_.pool.take_shares();
+        message.ratings = state_.sufficiency.own_cells();
+        for (const auto& target : state_.vms.heartbeat_targets(state_.generator)) {
+            auto full = message;
+            if (!peers_.contains(target.process.vm)) {
+                full.upstreams = state_.upstreams.all_reports(now);
+            }
+            state_.send(target.process.vm, peer_message_kind::heartbeat, full, out);
+        }
+    }
+    if (now >= next_summary_) {
+        next_summary_ = now + state_.settings.summary_interval;
+        auto message = summary;
+        message.upstreams = state_.upstreams.all_reports(now);
+        for (const auto& target : state_.vms.summary_targets()) {
+            state_.send(target.process.vm, peer_message_kind::heartbeat, message, out);
+        }
+    }
+}
+
+void membership_control::tick(time_point now, std::vector<output>& out)
+{
+    apply(state_.vms.tick(now));
+    refresh_topology();
+    for (const auto& probe : state_.upstreams.due_probes(state_.vms.domain_members(), now)) {
+        out.emplace_back(probe);
+    }
+    send_heartbeats(now, out);
+}
+
+void membership_control::leave(std::vector<output>& out)
+{
+    state_.vms.leave();
+    heartbeat_message message;
+    message.members = state_.vms.gossip();
+    for (const auto& [vm, record] : state_.vms.records()) {
+        if (vm != state_.self().vm && record.state == vm_state::alive) {
+            state_.send(vm, peer_message_kind::heartbeat, message, out);
+        }
+    }
+}
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/node/status_report.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "node/configuration_control.hpp"
+#include "node/core_state.hpp"
+#include "node/membership_control.hpp"
+#include "node/stream_control.hpp"
+
+// What a VM tells operators and callers about itself: readiness, GET /v1/in-force, /v1/status and
+// /v1/models. Contains no secret.
+
+namespace wagtailhitch {
+
+published_state report_state(const core_state& state, const configuration_control& configuration,
+                             const membership_control& membership, const stream_control& streams,
+                             time_point now);
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/node/stream_relay_test.cpp
@@ -0,0 +1,132 @@
+#include "node/stream_relay.hpp"
+
+#include <gtest/gtest.h>
+
+namespace wagtailhitch {
+namespace {
+
+class stream_relay_test : public testing::Test {
+protected:
+    stream_relay_test()
+    {
+        std::vector<relay_output> out;
+        reader_.set_topology(true, {}, {asker_id_}, out);
+        asker_.set_topology(false, {reader_id_}, {}, out);
+    }
+
+    log_batch batch_of(log_offset from, log_offset count, log_offset head)
+    {
+        log_batch out;
+        out.stream = "claims";
+        out.from = from;
+        out.head = head;
+        out.asked_at = clock_.now();
+        for (log_offset i = 0; i < count; ++i) {
+            out.records.push_back({from + i, "r" + std::to_string(from + i)});
+        }
+        return out;
+    }
+    template<typename T> static const T* first_of(const std::vector<relay_output>& out)
+    {
+        for (const auto& item : out) {
+            if (const auto* found = std::get_if<T>(&item)) {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+    /// Sends the asker's poll to the reader and the answer back.
+    relay_news poll()
+    {
+        clock_.advance(1s);
+        std::vector<relay_output> out;
+        asker_.tick(clock_.now(), out);
+        const auto* request = first_of<relay_request>(out);
+        std::vector<relay_output> answer;
+        reader_.on_request(asker_id_, request->message, clock_.now(), answer);
+        const auto* records = first_of<relay_records>(answer);
+        return records ? asker_.on_records(reader_id_, records->message, clock_.now(), out)
+                       : relay_news{};
+    }
+
+    manual_clock clock_;
+    vm_id reader_id_{"a1"};
+    vm_id asker_id_{"a2"};
+    stream_relay reader_{"claims", {}};
+    stream_relay asker_{"claims", {}};
+};
+
+// Guards against folding a record twice when both readers of a domain deliver it.
+TEST_F(stream_relay_test, record_delivered_twice_is_news_once)
+{
+    std::vector<relay_output> out;
+    EXPECT_EQ(reader_.on_log(batch_of(0, 3, 3), clock_.now(), out).records.size(), 3U);
+    EXPECT_TRUE(reader_.on_log(batch_of(0, 3, 3), clock_.now(), out).records.empty());
+    const auto* push = first_of<relay_records>(out);
+    ASSERT_NE(push, nullptr);
+    EXPECT_EQ(asker_.on_records(reader_id_, push->message, clock_.now(), out).records.size(), 3U);
+    EXPECT_TRUE(asker_.on_records(reader_id_, push->message, clock_.now(), out).records.empty());
+}
+
+// Guards against a hole in the fold after a push was lost.
+TEST_F(stream_relay_test, lost_push_is_repaired_by_the_next_poll)
+{
+    std::vector<relay_output> out;
+    reader_.on_log(batch_of(0, 3, 3), clock_.now(), out);
+    out.clear();
+    reader_.on_log(batch_of(3, 1, 4), clock_.now(), out);
+    const auto* push = first_of<relay_records>(out);
+    EXPECT_TRUE(asker_.on_records(reader_id_, push->message, clock_.now(), out).records.empty());
+    const auto news = poll();
+    ASSERT_EQ(news.records.size(), 4U);
+    EXPECT_EQ(news.records.back().offset, 3U);
+}
+
+// Guards against a relayed confirmation that looks newer than the read behind it, which would make
+// a not_run refusal untrue.
+TEST_F(stream_relay_test, relayed_confirmation_is_never_newer_than_the_read)
+{
+    std::vector<relay_output> out;
+    const auto read_at = clock_.now();
+    reader_.on_log(batch_of(0, 3, 3), clock_.now(), out);
+    clock_.advance(2s);
+    poll();
+    EXPECT_LE(asker_.confirmed_at(), read_at);
+    EXPECT_GT(asker_.confirmed_at(), time_point{});
+}
+
+TEST_F(stream_relay_test, read_behind_the_head_does_not_confirm)
+{
+    std::vector<relay_output> out;
+    reader_.on_log(batch_of(0, 3, 9), clock_.now(), out);
+    EXPECT_EQ(reader_.confirmed_at(), time_point{});
+}
+
+// Guards against silently skipping records that expired before they were read.
+TEST_F(stream_relay_test, expired_records_are_reported)
+{
+    std::vector<relay_output> out;
+    auto batch = batch_of(7, 2, 9);
+    batch.oldest = 7;
+    const auto news = reader_.on_log(batch, clock_.now(), out);
+    EXPECT_EQ(news.lost_before, 7U);
+    EXPECT_EQ(news.records.size(), 2U);
+}
+
+// Guards against a VM that asks the same dead reader for ever.
+TEST_F(stream_relay_test, unanswered_poll_goes_to_the_next_reader)
+{
+    std::vector<relay_output> out;
+    asker_.set_topology(false, {vm_id{"a1"}, vm_id{"a3"}}, {}, out);
+    std::vector<vm_id> asked;
+    for (int i = 0; i < 4; ++i) {
+        clock_.advance(1s);
+        out.clear();
+        asker_.tick(clock_.now(), out);
+        asked.push_back(first_of<relay_request>(out)->to);
+    }
+    EXPECT_NE(asked[0], asked[1]);
+}
+
+} // namespace
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/request/request_common.cpp
@@ -0,0 +1,39 @@
+#include "request/request_common.hpp"
+
+#include "base/digest.hpp"
+
+#include <algorithm>
+
+namespace wagtailhitch {
+
+void refuse(core_state& state, caller_token caller, error reason, std::vector<output>& out)
+{
+    state.counters
+        .count("refusals_total", {{"code", std::string{name_of(reason.code)}},
+                                  {"run", std::string{name_of(reason.run)}},
+                                  {"step", std::string{name_of(reason.at)}}})
+        .add();
+    out.emplace_back(answer_error{caller, std::move(reason)});
+}
+
+expected<team_id> authenticate(const core_state& state, const std::string& bearer_token)
+{
+    // The digest is the key, so the comparison reveals nothing about the token itself.
+    const auto it = state.teams_by_token.find(sha256_hex(bearer_token));
+    if (bearer_token.empty() || it == state.teams_by_token.end()) {
+        return tl::unexpected(error{error_code::unknown_team,
+                                    step::authenticate,
+                                    {},
+                                    run_state::not_run,
+                                    "The bearer token belongs to no team.",
+                                    {}});
+    }
+    return it->second;
+}
+
+time_point deadline_of(const caller_request& message, duration longest, time_point now)
+{
+    return now + std::min(message.deadline.value_or(longest), longest);
+}
+
+} // namespace wagtailhitch
