--- a/src/cascade/cascade_policy.hpp
+++ b/src/cascade/cascade_policy.hpp
@@ -42,14 +42,14 @@
 
 /// One step of the route, cheap first.
 struct step_facts {
-    model_id model;
+    model_id model{};
     double declared_quality{0};
     duration expected_time{}; ///< of the whole answer
     bool available{true};     ///< permitted for the team and not without upstreams
 };
 
 struct cascade_request {
-    std::string_view route;
+    std::string_view route{};
     double quality_target{0};
     duration time_left{};
     bool idempotent{true}; ///< others run on one step and never cascade
--- a/src/cascade/sufficiency.hpp
+++ b/src/cascade/sufficiency.hpp
@@ -28,9 +28,9 @@
 
 /// Counts that one process has recorded; the only writer of a cell is its source.
 struct sufficiency_cell {
-    std::string route;
-    model_id model;
-    process_id source;
+    std::string route{};
+    model_id model{};
+    process_id source{};
     std::uint32_t generation{0}; ///< number of times the counts were halved
     double sufficient{0};
     double total{0};
--- a/src/limits/admission_queue.hpp
+++ b/src/limits/admission_queue.hpp
@@ -34,11 +34,11 @@
 
 struct queue_entry {
     std::uint64_t token{0}; ///< names the request to the caller of the queue
-    team_id team;
+    team_id team{};
     request_class kind{request_class::short_request};
-    time_point deadline;
+    time_point deadline{};
     duration expected_service{}; ///< 0: the queue's average
-    time_point offered_at;       ///< set by offer()
+    time_point offered_at{};     ///< set by offer()
 };
 
 /// Bounded and deadline-aware; weighted fair between teams by start-time fair queueing on the
--- a/src/limits/team_limiter.hpp
+++ b/src/limits/team_limiter.hpp
@@ -31,25 +31,25 @@
 
 /// What a VM tells the holder: its demand since the last report, and the share it takes unasked.
 struct share_request {
-    vm_id vm;
-    team_id team;
-    limit_amounts demand; ///< per second, refused demand included
-    limit_amounts floor;  ///< per second
-    time_point asked_at;  ///< the VM's own clock; returned in the grant
+    vm_id vm{};
+    team_id team{};
+    limit_amounts demand{}; ///< per second, refused demand included
+    limit_amounts floor{};  ///< per second
+    time_point asked_at{};  ///< the VM's own clock; returned in the grant
 };
 
 /// A share beyond the floor, valid on the VM until `asked_at` + `term` of the VM's own clock.
 /// The holder counts it from a later moment, so that it never outlives the holder's account.
 struct share_grant {
-    vm_id vm;
-    team_id team;
-    limit_amounts share; ///< per second
-    time_point asked_at;
+    vm_id vm{};
+    team_id team{};
+    limit_amounts share{}; ///< per second
+    time_point asked_at{};
     duration term{};
 };
 
 struct limiter_settings {
-    vm_id vm;
+    vm_id vm{};
     double floor_fraction{0.2}; ///< of each limit, divided by the number of VMs
     double burst_seconds{1};    ///< capacity of a bucket in seconds of its rate
     /// Least capacity of a request bucket, so that a small floor still admits single requests.
--- a/src/retry/hedge_policy.hpp
+++ b/src/retry/hedge_policy.hpp
@@ -28,7 +28,7 @@
     bool idempotent{false};
     bool stream_started{false}; ///< the caller has received part of the answer
     bool already_hedged{false};
-    time_point deadline;
+    time_point deadline{};
 };
 
 /// Hedging of one pool: its first-token quantile and budget.
--- a/src/retry/retry_policy.hpp
+++ b/src/retry/retry_policy.hpp
@@ -63,7 +63,7 @@
     bool resume_failed{false}; ///< a resume of this generation has failed before
     bool repeatable_answer{true}; ///< tokens carry indexes, so a restart can skip those sent
     std::uint32_t retries{0};     ///< retries made for the request so far
-    time_point deadline;
+    time_point deadline{};
     duration expected_time{}; ///< of another attempt
 };
 
--- a/src/routing/outlier_detector.hpp
+++ b/src/routing/outlier_detector.hpp
@@ -20,6 +20,7 @@
     double error_rate{0.5};
     double minimum_requests{5}; ///< below this the error rate is not judged
     duration window{10s};       ///< half-life of the counts behind the error rate
+    /// Part of a pool; of a pool of two or three replicas, one may be ejected.
     double maximum_ejected{0.3};
     duration base_ejection{10s};
     duration longest_ejection{300s};
@@ -55,6 +56,10 @@
     bool merge(replica_index replica, outcome_counts counts, ejection_room room, time_point now);
     /// Marks the one trial request that may be under way.
     void begin_trial(replica_index replica, time_point now);
+    /// Records the outcome of a trial request. True when the replica is ejected again by it.
+    bool record_trial(replica_index replica, bool succeeded, time_point now);
+    /// Ends a trial whose request was cancelled.
+    void abandon_trial(replica_index replica);
     /// Forgets a replica that was removed or restarted.
     void reset(replica_index replica);
     /// Takes the counts recorded here since the last call.
@@ -77,6 +82,7 @@
         std::uint32_t trials_passed{0};
         bool ejected{false};
         time_point ejected_until;
+        time_point returned_at;
         time_point trial_started; ///< default when no trial is under way
         outcome_counts unshared;
     };
@@ -84,8 +90,7 @@
     history& at(replica_index replica);
     void decay(history& entry, time_point now) const;
     bool judge(history& entry, ejection_room room, time_point now);
-    void eject(history& entry, time_point now);
-    void record_trial(history& entry, bool succeeded, time_point now);
+    void eject(history& entry, time_point now) const;
 
     outlier_settings settings_;
     std::vector<history> histories_;
--- /dev/null
+++ b/src/routing/replica_chooser.cpp
@@ -0,0 +1,319 @@
+#include "routing/replica_chooser.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+
+namespace wagtailhitch {
+
+namespace {
+
+// Holders of the prompt's prefix that are read from the index.
+constexpr std::size_t most_matches = 8;
+
+// Random draws, per sample wanted, before the members are searched in order.
+constexpr std::uint32_t draws_per_sample = 3;
+
+constexpr double bytes_per_mb = 1e6;
+
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+duration from_seconds(double value)
+{
+    constexpr double longest = 1e6;
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(std::min(value, longest)));
+}
+
+// Multiplication instead of a modulus: the bias is below n / 2^32.
+std::size_t draw(std::mt19937_64& generator, std::size_t n)
+{
+    return static_cast<std::size_t>(((generator() >> 32U) * n) >> 32U);
+}
+
+} // namespace
+
+struct replica_chooser::scope {
+    const replica_pool& pool;
+    const link_budget& link;
+    const choice_request& request;
+    time_point now;
+    std::array<prefix_match, most_matches> matches{};
+    std::size_t match_count{0};
+
+    [[nodiscard]] std::span<const replica_index> members(locality distance) const
+    {
+        return request.version ? pool.members(*request.version, distance)
+                               : pool.service_members(request.service, distance);
+    }
+    [[nodiscard]] bool allowed(replica_index replica) const
+    {
+        return std::ranges::find(request.excluded, replica) == request.excluded.end() &&
+               pool.admits(replica, now);
+    }
+    [[nodiscard]] prefix_match match(replica_index replica) const
+    {
+        for (std::size_t i = 0; i < match_count; ++i) {
+            if (matches[i].replica == replica) {
+                return matches[i];
+            }
+        }
+        return {.replica = replica};
+    }
+};
+
+double estimate_load(const replica_load& load, const chooser_settings& settings)
+{
+    const double mirrors = 1 + (settings.sharing_vms - 1) * settings.mirrored_share;
+    const double change =
+        static_cast<double>(load.sent_since) - static_cast<double>(load.finished_since);
+    return std::max<double>(load.reported + change * mirrors, load.in_flight);
+}
+
+replica_chooser::replica_chooser(chooser_settings settings) : settings_{settings} {}
+
+expected<choice> replica_chooser::choose(const replica_pool& pool, const prefix_index& prefixes,
+                                         const link_budget& link, const choice_request& request,
+                                         time_point now, std::mt19937_64& generator)
+{
+    scope in{pool, link, request, now};
+    const bool weighs = settings_.policy == choice_policy::expected_time;
+    if (weighs && !request.prefix_hashes.empty()) {
+        in.match_count = prefixes.find(request.prefix_hashes, in.matches);
+    }
+    const double bytes = request.request_bytes + request.answer_bytes;
+    const duration target = request.first_token_target > duration{0} ? request.first_token_target
+                                                                     : settings_.spill_after;
+    std::optional<scored_choice> best;
+    for (const locality distance : {locality::domain, locality::region, locality::remote}) {
+        if (best && (!weighs || best->value.expected_first_token <= target)) {
+            break;
+        }
+        if (distance == locality::remote && !link.fits(bytes, now)) {
+            break;
+        }
+        search(in, distance, generator, best);
+    }
+    if (!best) {
+        return tl::unexpected(nothing_allowed(in));
+    }
+    best->value.link_bytes = best->value.distance == locality::remote ? bytes : 0;
+    return best->value;
+}
+
+duration replica_chooser::expected_first_token(const replica_pool& pool, replica_index replica,
+                                               std::uint32_t uncached_tokens, time_point now) const
+{
+    const double capacity = pool.ramp(replica, now);
+    return from_seconds(predict(pool, replica, uncached_tokens, capacity) *
+                        pool.slowness(replica, now));
+}
+
+double replica_chooser::predict(const replica_pool& pool, replica_index replica,
+                                double uncached_tokens, double capacity) const
+{
+    const replica_view& it = pool.view(replica);
+    const replica_load& counts = pool.load(replica);
+    const double load = estimate_load(counts, settings_);
+    const double slots = std::max(1.0, counts.slots * capacity);
+    const duration measured = pool.mean_total(replica);
+    const double total = seconds(measured > duration{0} ? measured : settings_.assumed_total);
+    const double wait = std::max(0.0, load + 1 - slots) * total / slots;
+    const double batch = 1 + std::min(load / slots, 1.0);
+    const double speed = std::max(it.spec.speed, 1e-3);
+    const double prefill = uncached_tokens / (settings_.prefill_tokens_per_second * speed);
+    const double start = seconds(settings_.base_first_token) / speed;
+    return wait + (start + prefill) * batch + 2 * seconds(latency_to(it.distance));
+}
+
+duration replica_chooser::latency_to(locality distance) const
+{
+    switch (distance) {
+    case locality::domain:
+        return settings_.domain_latency;
+    case locality::region:
+        return settings_.region_latency;
+    case locality::remote:
+        return settings_.remote_latency;
+    }
+    return settings_.remote_latency;
+}
+
+replica_chooser::scored_choice replica_chooser::score(const scope& in, replica_index replica) const
+{
+    const prefix_match match = in.match(replica);
+    const double believed = match.doubtful ? settings_.doubtful_value : 1;
+    const double cached = believed * match.blocks * settings_.block_tokens;
+    const double uncached = std::max(0.0, in.request.prompt_tokens - cached);
+    const double plain = predict(in.pool, replica, uncached, 1);
+    const double ramp = in.pool.ramp(replica, in.now);
+    const double ramped = ramp < 1 ? predict(in.pool, replica, uncached, ramp) : plain;
+    const double time = ramped * in.pool.slowness(replica, in.now);
+    const locality distance = in.pool.view(replica).distance;
+    const double bytes = in.request.request_bytes + in.request.answer_bytes;
+    const double link_cost =
+        distance == locality::remote ? bytes / bytes_per_mb * settings_.link_cost_per_mb : 0;
+    const double cost = link_cost + uncached / 1000 * in.request.cost_per_1k_input;
+    scored_choice result;
+    result.value.replica = replica;
+    result.value.distance = distance;
+    result.value.expected_first_token = from_seconds(time);
+    result.value.predicted = from_seconds(plain);
+    result.value.prefix_blocks = match.blocks;
+    result.score = settings_.latency_weight * time + settings_.cost_weight * cost;
+    return result;
+}
+
+void replica_chooser::search(scope& in, locality distance, std::mt19937_64& generator,
+                             std::optional<scored_choice>& best)
+{
+    const auto members = in.members(distance);
+    if (members.empty()) {
+        return;
+    }
+    switch (settings_.policy) {
+    case choice_policy::expected_time:
+        search_by_time(in, members, generator, best);
+        break;
+    case choice_policy::random:
+        take_first(in, members, draw(generator, members.size()), best);
+        break;
+    case choice_policy::round_robin:
+        take_first(in, members, static_cast<std::size_t>(round_++ % members.size()), best);
+        break;
+    case choice_policy::least_in_flight:
+        take_least(in, members, generator, members.size(), best);
+        break;
+    case choice_policy::two_choices:
+        take_least(in, members, generator, 2, best);
+        break;
+    }
+}
+
+void replica_chooser::search_by_time(scope& in, std::span<const replica_index> members,
+                                     std::mt19937_64& generator,
+                                     std::optional<scored_choice>& best) const
+{
+    const auto consider = [&](replica_index replica) {
+        const scored_choice candidate = score(in, replica);
+        if (!best || candidate.score < best->score) {
+            best = candidate;
+        }
+    };
+    consider_prefix_holders(in, members, best);
+    std::uint32_t considered = 0;
+    const bool all = members.size() <= 2 * static_cast<std::size_t>(settings_.samples);
+    for (std::uint32_t i = 0; !all && i < settings_.samples * draws_per_sample; ++i) {
+        const replica_index replica = members[draw(generator, members.size())];
+        if (considered < settings_.samples && in.allowed(replica)) {
+            consider(replica);
+            ++considered;
+        }
+    }
+    const std::size_t start = draw(generator, members.size());
+    for (std::size_t i = 0; i < members.size() && (all || considered == 0); ++i) {
+        const replica_index replica = members[(start + i) % members.size()];
+        if (in.allowed(replica)) {
+            consider(replica);
+            ++considered;
+        }
+    }
+}
+
+// A holder of the prefix is credited with it only while its load is within the bound over the mean,
+// so that a popular prefix does not collect all work on one replica.
+void replica_chooser::consider_prefix_holders(scope& in, std::span<const replica_index> members,
+                                              std::optional<scored_choice>& best) const
+{
+    double mean = -1;
+    for (std::size_t i = 0; i < in.match_count; ++i) {
+        const replica_index replica = in.matches[i].replica;
+        const bool member = std::ranges::find(members, replica) != members.end();
+        if (!member || !in.allowed(replica)) {
+            continue;
+        }
+        mean = mean < 0 ? mean_load(in.pool, members) : mean;
+        const double load = estimate_load(in.pool.load(replica), settings_);
+        if (load + 1 > std::ceil(settings_.affinity_load_bound * (mean + 1))) {
+            in.matches[i].blocks = 0;
+            continue;
+        }
+        const scored_choice candidate = score(in, replica);
+        if (!best || candidate.score < best->score) {
+            best = candidate;
+        }
+    }
+}
+
+double replica_chooser::mean_load(const replica_pool& pool,
+                                  std::span<const replica_index> members) const
+{
+    double sum = 0;
+    for (const replica_index replica : members) {
+        sum += estimate_load(pool.load(replica), settings_);
+    }
+    return sum / static_cast<double>(members.size());
+}
+
+void replica_chooser::take_first(const scope& in, std::span<const replica_index> members,
+                                 std::size_t start, std::optional<scored_choice>& best) const
+{
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        const replica_index replica = members[(start + i) % members.size()];
+        if (in.allowed(replica)) {
+            best = score(in, replica);
+            return;
+        }
+    }
+}
+
+void replica_chooser::take_least(const scope& in, std::span<const replica_index> members,
+                                 std::mt19937_64& generator, std::size_t wanted,
+                                 std::optional<scored_choice>& best) const
+{
+    const bool all = wanted >= members.size();
+    const std::size_t start = draw(generator, members.size());
+    const std::size_t draws = all ? 0 : wanted * draws_per_sample;
+    std::uint32_t least = std::numeric_limits<std::uint32_t>::max();
+    std::size_t seen = 0;
+    const auto consider = [&](replica_index replica) {
+        if (!in.allowed(replica)) {
+            return;
+        }
+        ++seen;
+        if (in.pool.load(replica).in_flight < least) {
+            least = in.pool.load(replica).in_flight;
+            best = score(in, replica);
+        }
+    };
+    for (std::size_t i = 0; i < draws && seen < wanted; ++i) {
+        consider(members[draw(generator, members.size())]);
+    }
+    for (std::size_t i = 0; i < members.size() && (all || seen == 0); ++i) {
+        consider(members[(start + i) % members.size()]);
+    }
+}
+
+error replica_chooser::nothing_allowed(const scope& in) const
+{
+    bool known = false;
+    for (const locality distance : {locality::domain, locality::region, locality::remote}) {
+        known = known || !in.members(distance).empty();
+    }
+    const std::string name =
+        in.request.version ? in.request.version->value : std::string{in.request.service};
+    error reason{error_code::no_upstream, step::route, name, run_state::not_run, {}, {}};
+    reason.detail = known ? "Every upstream of this pool is ejected, was tried before, or lies "
+                            "behind the link between regions, whose budget is used up."
+                          : "No upstream of this pool is usable.";
+    if (known) {
+        reason.retry_after = settings_.retry_after;
+    }
+    return reason;
+}
+
+} // namespace wagtailhitch
--- a/src/routing/replica_chooser.hpp
+++ b/src/routing/replica_chooser.hpp
@@ -6,6 +6,7 @@
 #include "routing/replica_pool.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <span>
 #include <string_view>
@@ -45,21 +46,23 @@
     double mirrored_share{0.25};
     /// The next distance is tried when the best expected first token is later than this.
     duration spill_after{500ms};
+    duration domain_latency{500us};         ///< one way within the failure domain
     duration region_latency{2ms};           ///< one way to other domains of the region
     duration remote_latency{30ms};          ///< one way to other regions
     duration base_first_token{30ms};        ///< of an idle standard replica and an empty prompt
     double prefill_tokens_per_second{8000}; ///< of a standard replica
     duration assumed_total{2s};             ///< before any attempt has been measured
     std::uint32_t block_tokens{256};        ///< prompt tokens per prefix block
+    duration retry_after{1s};               ///< advised when the allowed set is empty for a while
 };
 
 /// One decision's input. Exactly one of `version` and `service` is set. The caller has checked
 /// that the team may use the version and that it is in force.
 struct choice_request {
     const version_id* version{nullptr};
-    std::string_view service;
-    std::span<const replica_index> excluded; ///< tried by earlier attempts of the request
-    std::span<const std::uint64_t> prefix_hashes;
+    std::string_view service{};
+    std::span<const replica_index> excluded{}; ///< tried by earlier attempts of the request
+    std::span<const std::uint64_t> prefix_hashes{};
     std::uint32_t prompt_tokens{0};
     double request_bytes{0};       ///< estimate, sent over the link if the choice is remote
     double answer_bytes{0};        ///< estimate, returned over the link if the choice is remote
@@ -78,7 +81,7 @@
 
 /// Requests thought to be at a replica: the lagged report, corrected by own attempts that ended or
 /// were sent since it was measured, scaled for the other VMs that share the replica.
-double estimate_load(const replica_view& replica, const chooser_settings& settings);
+double estimate_load(const replica_load& load, const chooser_settings& settings);
 
 /// Chooses replicas. Holds only the round-robin position; allocates nothing on success.
 class replica_chooser {
@@ -100,13 +103,29 @@
 
 private:
     struct scope;
-    [[nodiscard]] choice score(const scope& in, replica_index replica, prefix_match match) const;
-    bool search(const scope& in, locality distance, std::mt19937_64& generator, choice& best,
-                double& best_score);
-    void consider(const scope& in, replica_index replica, prefix_match match, choice& best,
-                  double& best_score) const;
-    void consider_prefix_holders(const scope& in, std::span<const replica_index> members,
-                                 locality distance, choice& best, double& best_score) const;
+    struct scored_choice {
+        choice value;
+        double score{0};
+    };
+
+    [[nodiscard]] scored_choice score(const scope& in, replica_index replica) const;
+    /// Seconds; `capacity`: part of the slots that may be used.
+    [[nodiscard]] double predict(const replica_pool& pool, replica_index replica,
+                                 double uncached_tokens, double capacity) const;
+    [[nodiscard]] duration latency_to(locality distance) const;
+    void search(scope& in, locality distance, std::mt19937_64& generator,
+                std::optional<scored_choice>& best);
+    void search_by_time(scope& in, std::span<const replica_index> members,
+                        std::mt19937_64& generator, std::optional<scored_choice>& best) const;
+    void consider_prefix_holders(scope& in, std::span<const replica_index> members,
+                                 std::optional<scored_choice>& best) const;
+    [[nodiscard]] double mean_load(const replica_pool& pool,
+                                   std::span<const replica_index> members) const;
+    void take_first(const scope& in, std::span<const replica_index> members, std::size_t start,
+                    std::optional<scored_choice>& best) const;
+    void take_least(const scope& in, std::span<const replica_index> members,
+                    std::mt19937_64& generator, std::size_t wanted,
+                    std::optional<scored_choice>& best) const;
     [[nodiscard]] error nothing_allowed(const scope& in) const;
 
     chooser_settings settings_;
--- /dev/null
+++ b/src/routing/replica_pool.cpp
@@ -0,0 +1,477 @@
+#include "routing/replica_pool.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace wagtailhitch {
+
+namespace {
+
+// Ratios of observed to predicted time outside of this range tell no more than its ends.
+constexpr double smallest_ratio = 0.25;
+constexpr double largest_ratio = 64;
+
+constexpr std::uint32_t most_doublings = 16;
+
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+double log_ratio(duration observed, duration predicted)
+{
+    const double ratio = seconds(observed) / std::max(seconds(predicted), 1e-3);
+    return std::log(std::clamp(ratio, smallest_ratio, largest_ratio));
+}
+
+duration average(duration mean, duration observed, double weight)
+{
+    if (mean == duration{0}) {
+        return observed;
+    }
+    return mean + std::chrono::duration_cast<duration>((observed - mean) * weight);
+}
+
+} // namespace
+
+replica_pool::replica_pool(pool_settings settings)
+    : settings_{std::move(settings)}, outliers_{settings_.outliers}
+{
+}
+
+void replica_pool::configure(const std::map<upstream_id, upstream_spec>& upstreams, time_point now)
+{
+    std::vector<replica_index> removed;
+    for (const auto& [id, replica] : indexes_) {
+        if (!upstreams.contains(id)) {
+            removed.push_back(replica);
+        }
+    }
+    for (const replica_index replica : removed) {
+        remove(replica);
+    }
+    for (const auto& [id, spec] : upstreams) {
+        const auto it = indexes_.find(id);
+        if (it != indexes_.end()) {
+            update(it->second, spec, now);
+            continue;
+        }
+        const replica_index replica = allocate();
+        indexes_[id] = replica;
+        replicas_[replica].id = id;
+        replicas_[replica].present = true;
+        replicas_[replica].ramped = configured_;
+        update(replica, spec, now);
+    }
+    configured_ = true;
+}
+
+void replica_pool::set_health(const upstream_id& upstream, replica_health health, std::uint64_t run,
+                              time_point now)
+{
+    const auto it = indexes_.find(upstream);
+    if (it == indexes_.end()) {
+        return;
+    }
+    replica_view& replica = replicas_[it->second];
+    const bool stale = run != 0 && run < replica.run;
+    const bool restarted = replica.run != 0 && run > replica.run;
+    if (stale) {
+        return;
+    }
+    replica.run = std::max(replica.run, run);
+    if (restarted) {
+        restart(it->second);
+    }
+    if (replica.health != replica_health::leaving) {
+        change_health(it->second, health, now);
+    }
+}
+
+void replica_pool::set_loaded(const upstream_id& upstream, const std::vector<version_id>& loaded)
+{
+    const auto it = indexes_.find(upstream);
+    if (it == indexes_.end() || loaded_[it->second] == loaded) {
+        return;
+    }
+    unlink(it->second);
+    loaded_[it->second] = loaded;
+    link(it->second);
+}
+
+void replica_pool::report_load(const upstream_id& upstream, const load_report& report,
+                               time_point now)
+{
+    const auto it = indexes_.find(upstream);
+    if (it == indexes_.end() || now - report.age < replicas_[it->second].load_at) {
+        return;
+    }
+    const time_point measured = now - report.age;
+    replica_load& load = loads_[it->second];
+    attempt_log& log = attempts_[it->second];
+    load.reported = static_cast<float>(report.running) + static_cast<float>(report.waiting);
+    load.known = true;
+    load.sent_since = 0;
+    load.finished_since = 0;
+    replicas_[it->second].load_at = measured;
+    std::uint64_t first = log.next_sequence;
+    const std::uint64_t oldest = first > remembered ? first - remembered : 0;
+    while (first > oldest && log.sent[(first - 1) % remembered] > measured) {
+        --first;
+        load.sent_since += log.open[first % remembered] ? 1 : 0;
+    }
+    log.first_unreported = first;
+    const std::uint64_t oldest_end = log.ends > remembered ? log.ends - remembered : 0;
+    for (std::uint64_t i = log.ends; i > oldest_end; --i) {
+        const sequence_time& end = log.ended[(i - 1) % remembered];
+        if (end.at <= measured) {
+            break;
+        }
+        load.finished_since += end.sequence < first ? 1 : 0;
+    }
+}
+
+dispatch_ticket replica_pool::begin(replica_index replica, time_point now)
+{
+    attempt_log& log = attempts_[replica];
+    const std::uint64_t sequence = log.next_sequence++;
+    log.sent[sequence % remembered] = now;
+    log.open[sequence % remembered] = true;
+    ++loads_[replica].in_flight;
+    ++loads_[replica].sent_since;
+    const bool trial = outliers_.state(replica, now) == outlier_state::trial;
+    if (trial) {
+        outliers_.begin_trial(replica, now);
+    }
+    return {replica, replicas_[replica].generation, sequence, trial};
+}
+
+bool replica_pool::finish(const dispatch_ticket& ticket, const attempt_outcome& outcome,
+                          time_point now)
+{
+    replica_view& replica = replicas_.at(ticket.replica);
+    if (!replica.present || replica.generation != ticket.generation) {
+        return false;
+    }
+    count_end(ticket, now);
+    if (outcome.result == attempt_result::cancelled) {
+        if (ticket.trial) {
+            outliers_.abandon_trial(ticket.replica);
+        }
+        return false;
+    }
+    learn(replica, outcome, now);
+    const bool succeeded = outcome.result == attempt_result::succeeded;
+    if (!ticket.trial) {
+        const ejection_room limit = succeeded ? ejection_room{} : room(ticket.replica);
+        return outliers_.record(ticket.replica, succeeded, limit, now);
+    }
+    const bool ejected = outliers_.record_trial(ticket.replica, succeeded, now);
+    if (!outliers_.out_of_service(ticket.replica)) {
+        replica.ramped = true;
+        replica.usable_since = now;
+    }
+    return ejected;
+}
+
+std::vector<replica_share> replica_pool::take_shares()
+{
+    std::vector<replica_share> shares;
+    for (const auto& [id, replica] : indexes_) {
+        const outcome_counts counts = outliers_.take_counts(replica);
+        if (counts.successes + counts.failures > 0) {
+            shares.push_back({id, counts, std::exp(replicas_[replica].log_slowness)});
+        }
+    }
+    return shares;
+}
+
+void replica_pool::merge_share(const replica_share& share, time_point now)
+{
+    const auto it = indexes_.find(share.upstream);
+    if (it == indexes_.end()) {
+        return;
+    }
+    const double ratio = std::clamp(share.slowness, smallest_ratio, largest_ratio);
+    note_slowness(replicas_[it->second], std::log(ratio), now);
+    outliers_.merge(it->second, share.counts, room(it->second), now);
+}
+
+std::optional<replica_index> replica_pool::find(const upstream_id& upstream) const
+{
+    const auto it = indexes_.find(upstream);
+    return it == indexes_.end() ? std::nullopt : std::optional{it->second};
+}
+
+const replica_view& replica_pool::view(replica_index replica) const
+{
+    return replicas_[replica];
+}
+
+const replica_load& replica_pool::load(replica_index replica) const
+{
+    return loads_[replica];
+}
+
+bool replica_pool::holds(replica_index replica, const version_id& version) const
+{
+    return replicas_[replica].spec.kind == upstream_kind::engine &&
+           std::ranges::find(loaded_[replica], version) != loaded_[replica].end();
+}
+
+std::span<const replica_index> replica_pool::members(const version_id& version,
+                                                     locality distance) const
+{
+    const group* found = find_group(version.value, false);
+    return found ? std::span{found->members[static_cast<std::size_t>(distance)]}
+                 : std::span<const replica_index>{};
+}
+
+std::span<const replica_index> replica_pool::service_members(std::string_view service,
+                                                             locality distance) const
+{
+    const group* found = find_group(service, true);
+    return found ? std::span{found->members[static_cast<std::size_t>(distance)]}
+                 : std::span<const replica_index>{};
+}
+
+bool replica_pool::admits(replica_index replica, time_point now) const
+{
+    const replica_view& it = replicas_[replica];
+    return it.present && it.health == replica_health::usable && now >= it.not_before &&
+           outliers_.admits(replica, now);
+}
+
+outlier_state replica_pool::outlier(replica_index replica, time_point now) const
+{
+    return outliers_.state(replica, now);
+}
+
+double replica_pool::ramp(replica_index replica, time_point now) const
+{
+    const replica_view& it = replicas_[replica];
+    if (!it.ramped) {
+        return 1;
+    }
+    const double passed = seconds(now - std::max(it.usable_since, it.not_before));
+    return std::clamp(passed / seconds(settings_.slow_start), settings_.slow_start_floor, 1.0);
+}
+
+double replica_pool::slowness(replica_index replica, time_point now) const
+{
+    const replica_view& it = replicas_[replica];
+    if (it.log_slowness == 0) {
+        return 1;
+    }
+    const double age = seconds(now - it.slowness_at) / seconds(settings_.slowness_memory);
+    return std::exp(it.log_slowness * std::exp(-age));
+}
+
+duration replica_pool::mean_total(replica_index replica) const
+{
+    const duration own = replicas_[replica].mean_total;
+    return own == duration{0} ? pool_mean_total_ : own;
+}
+
+replica_index replica_pool::allocate()
+{
+    if (!free_.empty()) {
+        const replica_index replica = free_.back();
+        free_.pop_back();
+        return replica;
+    }
+    replicas_.emplace_back();
+    loads_.emplace_back();
+    attempts_.emplace_back();
+    loaded_.emplace_back();
+    return static_cast<replica_index>(replicas_.size() - 1);
+}
+
+void replica_pool::remove(replica_index replica)
+{
+    unlink(replica);
+    indexes_.erase(replicas_[replica].id);
+    restart(replica);
+    loaded_[replica].clear();
+    const std::uint32_t generation = replicas_[replica].generation;
+    replicas_[replica] = {};
+    replicas_[replica].generation = generation;
+    free_.push_back(replica);
+}
+
+// The process behind the replica is another one: what is known of the old one does not apply.
+void replica_pool::restart(replica_index replica)
+{
+    unlink(replica);
+    replica_view& it = replicas_[replica];
+    ++it.generation;
+    it.health = replica_health::unknown;
+    it.ramped = true;
+    it.load_at = {};
+    it.log_slowness = 0;
+    it.mean_total = {};
+    const std::uint32_t slots = loads_[replica].slots;
+    loads_[replica] = {};
+    loads_[replica].slots = slots;
+    attempts_[replica] = {};
+    outliers_.reset(replica);
+}
+
+void replica_pool::update(replica_index replica, const upstream_spec& spec, time_point now)
+{
+    replica_view& it = replicas_[replica];
+    if (it.spec == spec) {
+        return;
+    }
+    unlink(replica);
+    const bool moved = !it.spec.address.empty() && it.spec.address != spec.address;
+    if (moved) {
+        restart(replica);
+        it.run = 0;
+        it.usable_since = now;
+    }
+    if (it.spec.versions != spec.versions || moved) {
+        loaded_[replica] = spec.versions;
+    }
+    it.spec = spec;
+    it.distance = distance_to(spec);
+    loads_[replica].slots = std::max(1U, spec.slots);
+    link(replica);
+}
+
+void replica_pool::link(replica_index replica)
+{
+    const replica_view& it = replicas_[replica];
+    if (!it.present || it.health != replica_health::usable) {
+        return;
+    }
+    const auto distance = static_cast<std::size_t>(it.distance);
+    if (it.spec.kind == upstream_kind::service) {
+        services_[it.spec.service].members[distance].push_back(replica);
+        return;
+    }
+    for (const version_id& version : loaded_[replica]) {
+        versions_[version.value].members[distance].push_back(replica);
+    }
+}
+
+void replica_pool::unlink(replica_index replica)
+{
+    for (auto* groups : {&versions_, &services_}) {
+        for (auto& [name, item] : *groups) {
+            for (auto& members : item.members) {
+                std::erase(members, replica);
+            }
+        }
+        std::erase_if(*groups, [](const auto& item) {
+            return std::ranges::all_of(item.second.members,
+                                       [](const auto& members) { return members.empty(); });
+        });
+    }
+}
+
+const replica_pool::group* replica_pool::find_group(std::string_view name, bool service) const
+{
+    const auto& groups = service ? services_ : versions_;
+    const auto it = groups.find(name);
+    return it == groups.end() ? nullptr : &it->second;
+}
+
+locality replica_pool::distance_to(const upstream_spec& spec) const
+{
+    if (spec.region != settings_.region) {
+        return locality::remote;
+    }
+    return spec.failure_domain == settings_.failure_domain ? locality::domain : locality::region;
+}
+
+ejection_room replica_pool::room(replica_index replica) const
+{
+    const auto distance = static_cast<std::size_t>(replicas_[replica].distance);
+    ejection_room smallest;
+    for (const auto* groups : {&versions_, &services_}) {
+        for (const auto& [name, item] : *groups) {
+            const auto& members = item.members[distance];
+            if (std::ranges::find(members, replica) == members.end()) {
+                continue;
+            }
+            const auto size = static_cast<std::uint32_t>(members.size());
+            const auto ejected = std::ranges::count_if(
+                members, [&](replica_index other) { return outliers_.out_of_service(other); });
+            if (smallest.size == 0 || size < smallest.size) {
+                smallest = {size, static_cast<std::uint32_t>(ejected)};
+            }
+        }
+    }
+    return smallest;
+}
+
+void replica_pool::change_health(replica_index replica, replica_health health, time_point now)
+{
+    replica_view& it = replicas_[replica];
+    if (it.health == health) {
+        return;
+    }
+    unlink(replica);
+    if (health == replica_health::usable) {
+        it.usable_since = now;
+        if (it.health == replica_health::down) {
+            note_return(it, now);
+        }
+    }
+    it.health = health;
+    link(replica);
+}
+
+void replica_pool::note_return(replica_view& replica, time_point now) const
+{
+    const bool again = replica.returns > 0 && now - replica.returned_at < settings_.flap_window;
+    replica.returns = again ? replica.returns + 1 : 1;
+    replica.returned_at = now;
+    const std::uint32_t doublings = std::min(replica.returns - 1, most_doublings);
+    const duration wait = settings_.first_return_wait * (1LL << doublings);
+    replica.not_before = now + std::min(wait, settings_.longest_return_wait);
+    replica.ramped = true;
+}
+
+void replica_pool::learn(replica_view& replica, const attempt_outcome& outcome, time_point now)
+{
+    const bool succeeded = outcome.result == attempt_result::succeeded;
+    const duration observed =
+        succeeded ? outcome.first_token : std::max(outcome.first_token, settings_.failure_time);
+    if (outcome.predicted > duration{0}) {
+        note_slowness(replica, log_ratio(observed, outcome.predicted), now);
+    }
+    if (succeeded) {
+        replica.mean_total = average(replica.mean_total, outcome.total, settings_.smoothing);
+        pool_mean_total_ = average(pool_mean_total_, outcome.total, settings_.smoothing / 4);
+    }
+}
+
+void replica_pool::note_slowness(replica_view& replica, double log_ratio, time_point now) const
+{
+    const double age = seconds(now - replica.slowness_at) / seconds(settings_.slowness_memory);
+    const double remembered_value = replica.log_slowness * std::exp(-std::max(0.0, age));
+    replica.log_slowness = remembered_value + (log_ratio - remembered_value) * settings_.smoothing;
+    replica.slowness_at = now;
+}
+
+void replica_pool::count_end(const dispatch_ticket& ticket, time_point now)
+{
+    replica_load& load = loads_[ticket.replica];
+    attempt_log& log = attempts_[ticket.replica];
+    load.in_flight -= load.in_flight > 0 ? 1 : 0;
+    if (log.next_sequence - ticket.sequence <= remembered) {
+        log.open[ticket.sequence % remembered] = false;
+    }
+    log.ended[log.ends++ % remembered] = {ticket.sequence, now};
+    if (ticket.sequence >= log.first_unreported) {
+        load.sent_since -= load.sent_since > 0 ? 1 : 0;
+    }
+    else {
+        ++load.finished_since;
+    }
+}
+
+} // namespace wagtailhitch
--- a/src/routing/replica_pool.hpp
+++ b/src/routing/replica_pool.hpp
@@ -48,8 +48,8 @@
 }};
 
 struct pool_settings {
-    failure_domain_id failure_domain; ///< of this VM
-    region_id region;
+    failure_domain_id failure_domain{}; ///< of this VM
+    region_id region{};
     duration slow_start{10s};
     double slow_start_floor{0.1}; ///< capacity share of a replica at the start of the ramp
     /// Wait before new work after a replica returned from `down`; doubles with each return that
@@ -61,7 +61,7 @@
     double smoothing{0.2};         ///< weight of a new observation in the averages
     /// First-token time that a failed attempt counts as, so that failing fast does not look fast.
     duration failure_time{5s};
-    outlier_settings outliers;
+    outlier_settings outliers{};
 };
 
 /// Load as an upstream last knew it. `age`: how long before now it was measured.
@@ -91,43 +91,44 @@
     bool trial{false};
 };
 
-/// One replica as the chooser sees it. Load counts are requests.
+/// Requests at one replica; kept apart from the other facts because the chooser reads it for all
+/// members of a pool.
+struct replica_load {
+    float reported{0};               ///< running and waiting, when last measured
+    std::uint32_t slots{1};          ///< requests that run at once
+    std::uint32_t in_flight{0};      ///< own attempts
+    std::uint32_t sent_since{0};     ///< own attempts in flight that the report cannot include
+    std::uint32_t finished_since{0}; ///< own attempts in the report that have ended
+    bool known{false};               ///< a report was received
+};
+
+/// One replica as the chooser sees it.
 struct replica_view {
-    upstream_id id;
-    upstream_spec spec;
+    upstream_id id{};
+    upstream_spec spec{};
     locality distance{locality::remote};
     replica_health health{replica_health::unknown};
-    std::uint64_t run{0};     ///< incarnation of the upstream
-    time_point usable_since;  ///< start of the slow-start ramp
-    time_point not_before;    ///< flap damping: no new work before
-    std::uint32_t returns{0}; ///< returns from `down` that followed each other within the window
-    load_report load;
-    time_point load_at;               ///< when `load` was measured
-    std::uint32_t in_flight{0};       ///< own attempts
-    std::uint32_t sent_since{0};      ///< own attempts in flight that the report cannot include
-    std::uint32_t finished_since{0};  ///< own attempts included in the report that have ended
-    double slowness{1};               ///< observed over predicted first-token time
-    time_point slowness_at;           ///< when `slowness` was last observed
-    duration mean_total{};            ///< of successful attempts; 0 before the first
-    std::uint32_t generation{0};      ///< changes when the index is reused
-    std::uint64_t next_sequence{0};   ///< of dispatches
-    std::uint64_t report_sequence{0}; ///< dispatches below are included in the report
-    /// Times of the latest dispatches, to find those sent after a report was measured.
-    std::array<time_point, 32> dispatched_at{};
-    std::array<bool, 32> ended{};
+    std::uint64_t run{0};        ///< incarnation of the upstream
+    bool ramped{false};          ///< slow start applies: it is new, restarted or was down
+    time_point usable_since{};   ///< start of the slow-start ramp
+    time_point not_before{};     ///< flap damping: no new work before
+    time_point returned_at{};    ///< latest return from `down`
+    std::uint32_t returns{0};    ///< returns that followed each other within the flap window
+    time_point load_at{};        ///< when the load in use was measured
+    double log_slowness{0};      ///< mean logarithm of observed over predicted first-token time
+    time_point slowness_at{};    ///< when the slowness was last observed
+    duration mean_total{};       ///< of successful attempts; 0 before the first
+    std::uint32_t generation{0}; ///< changes when the index is reused
     bool present{false};
 };
 
 /// Statistics of one replica that VMs of a domain share.
 struct replica_share {
-    upstream_id upstream;
-    outcome_counts counts;
+    upstream_id upstream{};
+    outcome_counts counts{};
     double slowness{1};
 };
 
-/// Index of the replicas that hold one version or offer one service.
-using group_index = std::uint32_t;
-
 /// All upstreams known to one VM: facts from the configuration, health and load from probes and
 /// peers, own attempts, and outliers. A single thread owns it.
 class replica_pool {
@@ -140,8 +141,8 @@
     /// upstream stays so until a higher incarnation is seen.
     void set_health(const upstream_id& upstream, replica_health health, std::uint64_t run,
                     time_point now);
-    /// Versions that an engine has loaded; replaces the declared ones until the next configure
-    /// that changes them.
+    /// Versions that an engine says it has loaded; replaces the declared ones until a configuration
+    /// changes them.
     void set_loaded(const upstream_id& upstream, const std::vector<version_id>& loaded);
     /// Older reports than the one in use are ignored.
     void report_load(const upstream_id& upstream, const load_report& report, time_point now);
@@ -157,6 +158,8 @@
 
     [[nodiscard]] std::optional<replica_index> find(const upstream_id& upstream) const;
     [[nodiscard]] const replica_view& view(replica_index replica) const;
+    [[nodiscard]] const replica_load& load(replica_index replica) const;
+    [[nodiscard]] bool holds(replica_index replica, const version_id& version) const;
     [[nodiscard]] std::size_t size() const { return indexes_.size(); }
     /// Replicas that hold the version and are usable, at one distance; ejected and damped ones are
     /// included, see admits().
@@ -173,34 +176,54 @@
     [[nodiscard]] double slowness(replica_index replica, time_point now) const;
     /// Mean whole time of attempts: the replica's own or, before its first, the pool's.
     [[nodiscard]] duration mean_total(replica_index replica) const;
-    /// Requests thought to be at the replica now; see estimate_load() in replica_chooser.hpp for
-    /// the correction by own work.
     [[nodiscard]] const outlier_detector& outliers() const { return outliers_; }
 
 private:
     struct group {
-        std::string name;
-        bool service{false};
         std::array<std::vector<replica_index>, locality_count> members;
     };
 
+    struct sequence_time {
+        std::uint64_t sequence{0};
+        time_point at;
+    };
+    /// Latest dispatches and ends, to find which of them a lagged report includes. Beyond this
+    /// many since the report, older ones are taken to be included.
+    static constexpr std::size_t remembered = 64;
+    struct attempt_log {
+        std::uint64_t next_sequence{0};
+        std::uint64_t first_unreported{0}; ///< attempts from here on are not in the report
+        std::uint64_t ends{0};
+        std::array<time_point, remembered> sent{};
+        std::array<sequence_time, remembered> ended{};
+        std::array<bool, remembered> open{};
+    };
+
     replica_index allocate();
     void remove(replica_index replica);
-    void rebuild_groups();
-    void add_to_group(const std::string& name, bool service, replica_index replica);
+    void restart(replica_index replica);
+    void update(replica_index replica, const upstream_spec& spec, time_point now);
+    void link(replica_index replica);
+    void unlink(replica_index replica);
     [[nodiscard]] const group* find_group(std::string_view name, bool service) const;
     [[nodiscard]] locality distance_to(const upstream_spec& spec) const;
     [[nodiscard]] ejection_room room(replica_index replica) const;
-    void note_return(replica_view& replica, time_point now);
+    void change_health(replica_index replica, replica_health health, time_point now);
+    void note_return(replica_view& replica, time_point now) const;
     void learn(replica_view& replica, const attempt_outcome& outcome, time_point now);
+    void note_slowness(replica_view& replica, double log_ratio, time_point now) const;
+    void count_end(const dispatch_ticket& ticket, time_point now);
 
     pool_settings settings_;
     std::vector<replica_view> replicas_;
-    std::vector<std::vector<version_id>> loaded_; ///< by replica
+    std::vector<replica_load> loads_;
+    std::vector<attempt_log> attempts_;
+    std::vector<std::vector<version_id>> loaded_; ///< versions, by replica
+    bool configured_{false};
     std::vector<replica_index> free_;
     std::unordered_map<upstream_id, replica_index> indexes_;
-    std::unordered_map<std::string, group_index> group_indexes_; ///< by kind and name
-    std::vector<group> groups_;
+    std::map<std::string, group, std::less<>> versions_;
+    std::map<std::string, group, std::less<>> services_;
     outlier_detector outliers_;
     duration pool_mean_total_{};
 };
