--- a/src/billing/bill_buffer.hpp
+++ b/src/billing/bill_buffer.hpp
@@ -3,7 +3,9 @@
 #include "base/clock.hpp"
 #include "billing/bill.hpp"
 
+#include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -13,7 +15,7 @@
 // A VM's bills from their creation until they are on the stream `bills`.
 //
 //   if (buffer.full()) { refuse the request with bill_buffer_full }
-//   buffer.set_peers(live_peers_of_the_domain, now);
+//   buffer.set_peers(live_processes_of_the_domain);
 //   buffer.add(bill, now);             // the answer's end is held back
 //   for (auto& out : buffer.tick(now)) { copies, appends, releases, done notices }
 //
@@ -23,15 +25,22 @@
 namespace wagtailhitch {
 
 struct bill_buffer_settings {
-    std::size_t maximum_bytes{32 * 1024 * 1024}; ///< own bills and copies held for others
-    std::size_t copies{2};
-    duration copy_interval{5ms};   ///< copies are sent in batches
+    std::size_t maximum_bytes{std::size_t{32} * 1024 *
+                              1024}; ///< own bills and copies held for others
+    std::size_t copies{2};           ///< 1 or 2
+    std::size_t maximum_message_bytes{std::size_t{256} * 1024}; ///< of one batch of copies
+    std::size_t maximum_appends{4};                             ///< records without a reply
+    duration copy_interval{5ms};                                ///< copies are sent in batches
     duration release_after{50ms};  ///< the answer's end is not held back longer
-    duration copy_again_after{1s}; ///< a copy that was not acknowledged is sent again
+    duration copy_again_after{1s}; ///< an unacknowledged message is sent again; doubles up to 30 s
+    /// A copy that is still held then is appended by the holder, because a done notice can be lost.
+    /// The owner has appended long before, or the log has been away.
+    duration hold_at_most{1h};
     duration append_interval{2s};
     duration append_timeout{5s};  ///< without a reply the same record is appended again
     duration append_retry{500ms}; ///< after a failed append
-    std::size_t maximum_record_bytes{60 * 1024}; ///< below the log's record bound of 64 KiB
+    std::size_t maximum_record_bytes{std::size_t{60} *
+                                     1024}; ///< below the log's record bound of 64 KiB
 };
 
 /// The end of the answer may be sent. `copied` false is counted as bill_uncopied.
@@ -40,9 +49,9 @@
     bool copied{false};
 };
 
-/// Copies for one peer; the peer answers with `id`.
+/// Copies for one peer, which answers with bill_ack and `id`.
 struct bill_copy_batch {
-    vm_id to;
+    process_id to;
     std::uint64_t id{0};
     std::string data; ///< encode_bill_batch
 };
@@ -53,9 +62,11 @@
     std::string data;
 };
 
-/// Bills of this process that are on the stream; the peer drops its copies.
+/// Bills of this process that are on the stream. The peer drops its copies and answers with
+/// bill_ack and `id`.
 struct bill_done {
-    vm_id to;
+    process_id to;
+    std::uint64_t id{0};
     std::vector<std::uint64_t> sequences;
 };
 
@@ -69,63 +80,63 @@
     /// accepted are always taken.
     [[nodiscard]] bool full() const { return bytes_ >= settings_.maximum_bytes; }
 
-    /// Live peers of the failure domain; the copy-holders are chosen among them by rendezvous.
-    /// Bills copied to a peer that is not listed any more are copied to another.
-    void set_peers(const std::vector<vm_id>& live);
+    /// Live processes of the failure domain, without this one. The copy-holders are chosen among
+    /// them by rendezvous; bills copied to a process that is not listed any more are copied to
+    /// another one.
+    void set_peers(const std::vector<process_id>& live);
 
     /// A bill of this process, before the end of its answer.
     void add(const bill& created, time_point now);
 
-    /// A peer holds the copies of batch `id`.
-    void on_copy_ack(const vm_id& peer, std::uint64_t id, std::vector<bill_output>& out);
+    /// The peer has handled message `id`, a copy batch or a done notice.
+    void on_ack(const process_id& peer, std::uint64_t id, std::vector<bill_output>& out);
 
     /// Copies from a peer. False when they were not stored (full or malformed): no ack is sent.
-    bool hold_copies(std::string_view data);
-    /// `owner` says that these bills are on the stream.
+    bool hold_copies(std::string_view data, time_point now);
+    /// `owner` says that these bills are on the stream; the ack is sent in any case.
     void drop_copies(const process_id& owner, const std::vector<std::uint64_t>& sequences);
 
-    /// Reply to an append; a failure may have taken effect and the same record is appended again.
+    /// Reply to an append. A failure may have taken effect; the same record is appended again.
     void on_append_result(std::uint64_t id, bool stored, time_point now,
                           std::vector<bill_output>& out);
-    /// The record was read from the stream: its bills need no further work here.
+    /// A record was read from the stream: its bills need no further work here.
     void on_stream(std::string_view data, std::vector<bill_output>& out);
 
-    /// The incarnation left or was removed: this VM appends the copies it holds.
+    /// The incarnation left or was removed: this VM appends the copies it holds of its bills.
     void process_gone(const process_id& gone);
 
     /// A graceful shutdown: everything is appended without waiting for the interval.
     void begin_stop();
-    /// Nothing is left that only this VM knows: every bill is on the stream or, when the log is
+    /// Nothing is left that only this VM knows: every bill is on the stream or, while the log is
     /// away, acknowledged by the wanted number of peers.
     [[nodiscard]] bool drained() const;
 
-    /// Everything that is due: releases after release_after, copies, appends.
+    /// Everything that is due: releases, copies, appends and done notices.
     std::vector<bill_output> tick(time_point now);
 
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
     [[nodiscard]] std::size_t own() const { return own_.size(); }
-    [[nodiscard]] std::size_t held() const;
+    [[nodiscard]] std::size_t held() const { return held_count_; }
 
 private:
-    struct copy_state {
-        vm_id peer;
-        bool acknowledged{false};
-        std::optional<time_point> sent;
-    };
+    using peer_number = std::uint16_t; // index into peers_ + 1; 0 is none
     struct own_bill {
         std::string encoded;
         time_point created;
+        std::array<peer_number, 2> holders{}; // acknowledged copies
         bool released{false};
-        std::vector<copy_state> copies;
-        std::uint64_t append{0}; // id of the record it is in; 0 when in none
     };
     struct held_bill {
         std::string encoded;
-        std::uint64_t append{0};
+        time_point received;
+        bool handed_over{false}; // acknowledged by a peer during a graceful shutdown
     };
-    struct sent_copy {
-        vm_id peer;
-        std::vector<std::uint64_t> sequences;
+    struct sent_message {
+        process_id peer;
+        std::vector<request_id> bills;
+        bool done{false}; // a done notice, else copies
+        time_point again_at;
+        duration wait{}; // until the next repeat; doubles
     };
     struct sent_append {
         std::string data;
@@ -133,18 +144,46 @@
         time_point again_at;
     };
 
+    [[nodiscard]] bool is_own(const request_id& request) const;
+    [[nodiscard]] const std::string* encoded(const request_id& request) const;
+    [[nodiscard]] bool is_holder(const process_id& peer) const;
+    [[nodiscard]] std::size_t live_copies(const own_bill& subject) const;
+    peer_number number_of(const process_id& peer);
+    void copied(const process_id& peer, const request_id& request, std::vector<bill_output>& out);
+    void settle(const request_id& request, std::vector<bill_output>& out);
+    void settle_own(std::uint64_t sequence, std::vector<bill_output>& out);
+    void settle_held(const request_id& request);
+    void release(const request_id& request, own_bill& subject, bool copied,
+                 std::vector<bill_output>& out);
+    void queue_missing_copies();
+    void release_overdue(time_point now, std::vector<bill_output>& out);
+    void send_copies(time_point now, std::vector<bill_output>& out);
+    void send_done(time_point now, std::vector<bill_output>& out);
+    void repeat_messages(time_point now, std::vector<bill_output>& out);
+    void emit(std::uint64_t id, const sent_message& message, std::vector<bill_output>& out) const;
+    void append_old_copies(time_point now);
+    void send_appends(time_point now, std::vector<bill_output>& out);
+    bool append_next_record(time_point now, std::vector<bill_output>& out);
+
     process_id self_;
     bill_buffer_settings settings_;
-    std::vector<vm_id> holders_;
+    std::vector<process_id> peers_;   // every copy-holder so far
+    std::vector<process_id> holders_; // the current ones
     std::map<std::uint64_t, own_bill> own_;
     std::map<process_id, std::map<std::uint64_t, held_bill>> held_;
-    std::vector<process_id> gone_;
-    std::map<std::uint64_t, sent_copy> sent_copies_;
+    std::deque<process_id> gone_;
+    std::deque<std::uint64_t> unreleased_; // in order of creation
+    std::map<process_id, std::deque<request_id>> to_copy_;
+    std::map<process_id, std::vector<request_id>> to_confirm_; // done notices by holder
+    std::deque<request_id> to_append_;
+    std::map<std::uint64_t, sent_message> messages_;
     std::map<std::uint64_t, sent_append> appends_;
     std::uint64_t next_id_{1};
     time_point next_copy_{};
     time_point next_append_{};
+    time_point next_held_check_{};
     std::size_t bytes_{0};
+    std::size_t held_count_{0};
     bool stopping_{false};
 };
 
--- a/src/claim/claim_batcher.hpp
+++ b/src/claim/claim_batcher.hpp
@@ -21,7 +21,7 @@
 //
 //   claim_writer writer{settings, first_id};          // on the holder of the duty claim-writer
 //   writer.accept(items);
-//   for (auto& append : writer.due(now, has_authority)) { log_append{...} }
+//   if (auto append = writer.due(now, has_authority)) { log_append{...} }
 //   writer.on_result(append, true, now);
 
 namespace wagtailhitch {
@@ -29,8 +29,7 @@
 struct claim_outbox_settings {
     std::size_t maximum_items{4096};
     duration resend_after{1s}; ///< an item not seen on the stream is submitted again
-    duration forget_withdrawn_after{10min};
-    std::size_t maximum_submit_bytes{48 * 1024}; ///< per submission; fits a peer frame
+    std::size_t maximum_submit_bytes{std::size_t{48} * 1024}; ///< per submission; fits a peer frame
 };
 
 /// A VM's claims and outcomes until they are read back from the stream.
@@ -41,9 +40,12 @@
     /// False when the outbox is full; claims only, outcomes are always taken.
     bool add(claim_item item, time_point now);
 
-    /// The claim's request was refused and is never sent. A claim that still reaches the stream is
-    /// followed by a not_run outcome, which frees the key.
-    void withdraw(const claim_key& key, const request_id& request, time_point now);
+    /// The claim's request was refused and is never sent; the claim is not submitted again. It may
+    /// reach the stream all the same, see release().
+    void withdraw(const request_id& request);
+
+    /// The request holds the key, was not sent and never will be: a not_run outcome frees the key.
+    void release(const claim_key& key, const request_id& request, time_point now);
 
     /// Items to submit to the domain's writer now: new ones, and those not seen for too long.
     std::vector<std::vector<claim_item>> due(time_point now);
@@ -52,7 +54,7 @@
     void writer_changed();
 
     /// Items of this VM that are on the stream are done.
-    void seen(const claim_batch& batch, time_point now);
+    void seen(const claim_batch& batch);
 
     [[nodiscard]] std::size_t size() const { return pending_.size(); }
     [[nodiscard]] bool empty() const { return pending_.empty(); }
@@ -64,20 +66,20 @@
         time_point submit_at;
     };
 
-    void add_release(const claim_key& key, const request_id& request, time_point now);
-
     claim_outbox_settings settings_;
     std::map<item_id, pending_item> pending_;
-    std::map<request_id, time_point> withdrawn_;
+    std::size_t claims_{0};
+    time_point next_due_{}; // no item is due before
 };
 
 struct claim_writer_settings {
-    duration minimum_interval{50ms};            ///< 20 batches per second
-    std::size_t maximum_queue{16'384};          ///< items
-    std::size_t maximum_batch_bytes{60 * 1024}; ///< below the log's record bound of 64 KiB
-    std::size_t maximum_in_flight{4};           ///< batches without a reply
-    duration reply_timeout{2s};                 ///< then the same batch is appended again
-    duration retry_after{250ms};                ///< after a failed append
+    duration minimum_interval{50ms};   ///< 20 batches per second
+    std::size_t maximum_queue{16'384}; ///< items
+    std::size_t maximum_batch_bytes{std::size_t{60} *
+                                    1024}; ///< below the log's record bound of 64 KiB
+    std::size_t maximum_in_flight{4};      ///< batches without a reply
+    duration reply_timeout{2s};            ///< then the same batch is appended again
+    duration retry_after{250ms};           ///< after a failed append
 };
 
 /// One record to append to the stream `claims`. Repeats carry the same batch id and data.
@@ -96,9 +98,9 @@
     /// returned. Their VMs submit them again.
     std::size_t accept(std::vector<claim_item> items);
 
-    /// Appends to send now. Without authority (another VM is the writer) everything is dropped;
-    /// the VMs submit again to the new writer.
-    std::vector<claim_append> due(time_point now, bool authority);
+    /// The append to send now, if any. Without authority (another VM is the writer) everything is
+    /// dropped; the VMs submit again to the new writer.
+    std::optional<claim_append> due(time_point now, bool authority);
 
     /// Reply to an append. `stored` false covers every failure, also one that may have taken
     /// effect: the batch is appended again, and the fold ignores the repeat.
@@ -117,6 +119,7 @@
 
     std::optional<claim_append> repeat(time_point now);
     claim_append next_batch(time_point now);
+    void drop_all();
 
     claim_writer_settings settings_;
     std::uint64_t next_batch_;
--- a/src/claim/claim_flow.hpp
+++ b/src/claim/claim_flow.hpp
@@ -43,8 +43,8 @@
 };
 
 /// wait: nothing to do yet. submit: append `claim`. send: dispatch the request, exactly once.
-/// answer: give the stored answer. refuse: give `reason`; with `withdraw` the claim was submitted
-/// and must be withdrawn from the outbox.
+/// answer: give the stored answer. refuse: give `reason`. With `withdraw` a claim was submitted and
+/// must be withdrawn from the outbox; with `release` the request holds the key and frees it.
 enum class claim_action_kind { wait, submit, send, answer, refuse };
 
 struct claim_action {
@@ -55,6 +55,7 @@
     std::string payload;
     error reason;
     bool withdraw{false};
+    bool release{false};
 };
 
 class claim_flow {
@@ -86,22 +87,26 @@
     [[nodiscard]] const claim_key& key() const { return key_; }
     [[nodiscard]] const keyed_request& request() const { return request_; }
     [[nodiscard]] bool sent() const { return phase_ == flow_phase::sent; }
-    [[nodiscard]] bool over() const;
+    [[nodiscard]] bool over() const { return phase_ == flow_phase::over; }
 
 private:
-    enum class flow_phase { idle, submitted, sent, over };
+    // watching: another request holds the key, or held it when it was last looked up.
+    enum class flow_phase { idle, submitted, watching, sent, over };
 
-    claim_action claimed_by_other(const claim_state& state, time_point now);
-    claim_action not_read_back(const claims_confirmation& log, time_point now);
+    claim_action held_by_other(const claim_state& state, time_point now);
+    claim_action not_held(const claims_confirmation& log, time_point now);
+    claim_action held_here(const claim_state& state, time_point now);
+    claim_action submit();
     claim_action refuse(error_code code, run_state run, std::string detail);
-    claim_action submit(std::int64_t wall_ms);
-    claim_action send_or_give_up(time_point now);
+    [[nodiscard]] bool log_away(const claims_confirmation& log, time_point now) const;
     [[nodiscard]] bool not_run_is_certain(const claims_confirmation& log) const;
+    outcome_record outcome(run_state run) const;
 
     keyed_request request_;
     claim_flow_settings settings_;
     claim_key key_;
     flow_phase phase_{flow_phase::idle};
+    bool submitted_{false};
     std::int64_t claimed_ms_{0};
 };
 
--- a/src/claim/claim_table.hpp
+++ b/src/claim/claim_table.hpp
@@ -12,8 +12,8 @@
 
 // The fold of the stream `claims`: who may run the request of a key, and what became of it.
 //
-//   table.start(batch.oldest);                          // once, at the first read
-//   auto events = table.apply(record.offset, *decode_claim_batch(record.data));
+//   table.start(batch.oldest, wall_ms);                 // once, at the first read
+//   auto events = table.apply(record.offset, *decode_claim_batch(record.data), wall_ms);
 //   claim_state state = table.find(key);
 //   table.expire(wall_ms);
 
@@ -23,7 +23,7 @@
     std::int64_t retention_ms{24LL * 60 * 60 * 1000};
     /// Claims are kept this much longer, for wall clocks of VMs that differ.
     std::int64_t clock_skew_ms{5LL * 60 * 1000};
-    std::size_t outcome_bytes{32 * 1024 * 1024}; ///< of all kept answers
+    std::size_t outcome_bytes{std::size_t{32} * 1024 * 1024}; ///< of all kept answers
 };
 
 /// absent: no claim within the horizon, or the claim was freed by a not_run outcome.
@@ -44,6 +44,8 @@
     claim_outcome_view outcome;
 };
 
+/// A repeated record has no event. A `won` event of this process for a request that is over must be
+/// answered by claim_outbox::release(): the claim reached the log after its request was refused.
 enum class claim_event_kind { won, lost, outcome, freed };
 
 /// One effect of a record. For won and lost `request` is the claim's, else the claim owner's.
@@ -58,17 +60,20 @@
     explicit claim_table(claim_table_settings settings);
 
     /// The fold begins at `oldest`; claims before it are unknown, which raises the horizon.
-    void start(log_offset oldest);
+    /// `wall_ms`, here and below: this VM's Unix milliseconds.
+    void start(log_offset oldest, std::int64_t wall_ms);
     /// Records before `oldest` expired before they were read.
-    void gap(log_offset oldest);
+    void gap(log_offset oldest, std::int64_t wall_ms);
 
-    /// Folds one record. Offsets below next_offset() are ignored.
-    std::vector<claim_event> apply(log_offset offset, const claim_batch& batch);
+    /// Folds one record. Offsets below next_offset() are ignored. Who wins depends on the log
+    /// alone; `wall_ms` only bounds the retention of claims dated in the future.
+    std::vector<claim_event> apply(log_offset offset, const claim_batch& batch,
+                                   std::int64_t wall_ms);
 
     /// Running claims of `gone` become unknown; a later outcome record still counts.
     void process_gone(const process_id& gone);
 
-    /// Forgets claims older than the retention. `wall_ms`: Unix milliseconds.
+    /// Forgets claims older than the retention.
     void expire(std::int64_t wall_ms);
 
     [[nodiscard]] claim_state find(const claim_key& key) const;
@@ -111,9 +116,11 @@
     [[nodiscard]] const entry& at(std::uint32_t number) const { return entries_[number - first_]; }
     [[nodiscard]] std::optional<std::uint32_t> lookup(const claim_key& key) const;
     [[nodiscard]] request_id owner_of(const entry& claim) const;
-    claim_event fold_claim(const claim_record& claim);
+    std::optional<claim_event> fold_claim(const claim_record& claim, std::int64_t wall_ms);
     std::optional<claim_event> fold_outcome(const outcome_record& outcome);
-    void insert(const claim_record& claim);
+    void insert(const claim_record& claim, std::int64_t wall_ms);
+    [[nodiscard]] entry placeholder() const;
+    void begin_gap(std::int64_t wall_ms);
     void free_claim(std::uint32_t number);
     void keep_outcome(std::uint32_t number, const outcome_record& outcome);
     void drop_outcome(std::uint32_t outcome);
@@ -123,8 +130,8 @@
 
     claim_table_settings settings_;
     log_offset next_{0};
-    bool incomplete_{false}; // the next record's time becomes the horizon
     std::int64_t floor_ms_{0};
+    std::optional<std::int64_t> floor_before_gap_ms_; // until the first record after a gap
     std::uint32_t first_{0}; // number of entries_.front(); numbers wrap around
     std::deque<entry> entries_;
     detail::claim_index index_;
--- a/src/claim/detail/claim_index.hpp
+++ b/src/claim/detail/claim_index.hpp
@@ -11,6 +11,9 @@
 /// is at most 3/4 full; keys are compared through the caller's entries.
 class claim_index {
 public:
+    /// The entry number that cannot be stored, because 0 marks an empty slot.
+    static constexpr std::uint32_t reserved_number = 0xffff'ffff;
+
     using matcher = std::function<bool(std::uint32_t)>;
     using hasher = std::function<std::uint64_t(std::uint32_t)>;
 
@@ -22,11 +25,11 @@
     [[nodiscard]] std::size_t memory_bytes() const { return slots_.capacity() * sizeof slots_[0]; }
 
 private:
-    void grow(const hasher& hash_of);
+    void resize(std::size_t size, const hasher& hash_of);
     void place(std::uint64_t hash, std::uint32_t number);
     [[nodiscard]] std::size_t next(std::size_t slot) const { return (slot + 1) & mask_; }
 
-    std::vector<std::uint32_t> slots_; // entry number + 1 modulo 2^32; 0 is empty
+    std::vector<std::uint32_t> slots_; // entry number + 1; 0 is empty
     std::size_t mask_{0};
     std::size_t used_{0};
 };
--- /dev/null
+++ b/src/lease/lease_keeper.cpp
@@ -0,0 +1,148 @@
+#include "lease/lease_keeper.hpp"
+
+#include "base/digest.hpp"
+
+#include <algorithm>
+
+namespace wagtailhitch {
+
+namespace {
+
+duration scale(duration value, double factor)
+{
+    return duration{static_cast<duration::rep>(static_cast<double>(value.count()) * factor)};
+}
+
+} // namespace
+
+lease_keeper::lease_keeper(std::string duty, process_id self, lease_settings settings)
+    : duty_{std::move(duty)}, self_{std::move(self)}, settings_{settings}
+{
+}
+
+std::optional<lease_record> lease_keeper::tick(const lease_table& table,
+                                               const std::vector<vm_id>& candidates, time_point now)
+{
+    if (!latest_read_) {
+        latest_read_ = now;
+    }
+    if (now < next_append_) {
+        return std::nullopt;
+    }
+    const auto* lease = table.find(duty_);
+    if (lease != nullptr && lease->holder == self_ && !lease->released) {
+        return holder_step(*lease, now);
+    }
+    return contender_step(table, candidates, now);
+}
+
+void lease_keeper::on_record(log_offset offset, const lease_record& record, bool accepted,
+                             time_point now)
+{
+    if (!accepted || record.duty != duty_) {
+        return;
+    }
+    latest_read_ = now;
+    next_append_ = {};
+    const auto sent = sent_.find(record.nonce);
+    if (record.holder != self_ || record.operation == lease_operation::release) {
+        authority_until_ = {};
+        sent_.clear();
+        return;
+    }
+    fencing_ = record.operation == lease_operation::acquire ? offset + 1 : record.fencing;
+    if (sent == sent_.end() || giving_up_) {
+        return;
+    }
+    held_ = true;
+    const auto window = scale(settings_.term - settings_.margin, 1.0 - settings_.drift);
+    authority_until_ = std::max(authority_until_, sent->second + window);
+    next_append_ = sent->second + settings_.renew_interval;
+    sent_.erase(sent_.begin(), std::next(sent));
+}
+
+void lease_keeper::give_up()
+{
+    giving_up_ = true;
+    held_ = false;
+    authority_until_ = {};
+    next_append_ = {};
+}
+
+void lease_keeper::resume()
+{
+    giving_up_ = false;
+}
+
+std::optional<fencing_number> lease_keeper::authority(time_point now) const
+{
+    if (giving_up_ || now >= authority_until_) {
+        return std::nullopt;
+    }
+    return fencing_;
+}
+
+bool lease_keeper::lost(time_point now) const
+{
+    return held_ && !authority(now);
+}
+
+// A lapsed authority is renewed as well: if the renewal is accepted, nobody held the lease since.
+std::optional<lease_record> lease_keeper::holder_step(const lease_state& lease, time_point now)
+{
+    if (giving_up_) {
+        next_append_ = now + settings_.append_again;
+        return make_record(lease_operation::release, lease.latest, lease.fencing, now);
+    }
+    next_append_ = now + settings_.renew_interval;
+    return make_record(lease_operation::renew, lease.latest, lease.fencing, now);
+}
+
+std::optional<lease_record> lease_keeper::contender_step(const lease_table& table,
+                                                         const std::vector<vm_id>& candidates,
+                                                         time_point now)
+{
+    const auto order = rank(candidates);
+    if (giving_up_ || !order) {
+        return std::nullopt;
+    }
+    const auto* lease = table.find(duty_);
+    const auto predecessor = table.predecessor(duty_);
+    // Without a holder there is no authority to wait for: the holder stopped acting before it
+    // released, and an acquire without a predecessor is accepted only as the stream's first.
+    const bool free = lease != nullptr ? lease->released : !predecessor.has_value();
+    const auto lapse = scale(settings_.term + settings_.margin, 1.0 + settings_.drift);
+    const auto turn = settings_.contention_step * std::min(*order, settings_.maximum_rank);
+    if (now < *latest_read_ + (free ? duration{0} : lapse) + turn) {
+        return std::nullopt;
+    }
+    next_append_ = now + settings_.append_again + turn;
+    return make_record(lease_operation::acquire, predecessor, 0, now);
+}
+
+lease_record lease_keeper::make_record(lease_operation operation,
+                                       std::optional<log_offset> predecessor,
+                                       fencing_number fencing, time_point now)
+{
+    // A record sent longer ago than a term gives no authority when it is read back.
+    while (!sent_.empty() && sent_.begin()->second + settings_.term < now) {
+        sent_.erase(sent_.begin());
+    }
+    const auto nonce = next_nonce_++;
+    sent_.emplace(nonce, now);
+    return {operation, duty_, self_, predecessor, fencing, nonce};
+}
+
+std::optional<std::size_t> lease_keeper::rank(const std::vector<vm_id>& candidates) const
+{
+    if (std::find(candidates.begin(), candidates.end(), self_.vm) == candidates.end()) {
+        return std::nullopt;
+    }
+    const auto own = rendezvous_weight(duty_, self_.vm.value);
+    const auto before = std::count_if(candidates.begin(), candidates.end(), [&](const vm_id& vm) {
+        return rendezvous_weight(duty_, vm.value) > own;
+    });
+    return static_cast<std::size_t>(before);
+}
+
+} // namespace wagtailhitch
--- a/src/lease/lease_keeper.hpp
+++ b/src/lease/lease_keeper.hpp
@@ -14,7 +14,7 @@
 //
 //   lease_keeper keeper{"rollout", self, settings};
 //   if (auto record = keeper.tick(table, members, now)) { append it; the reply is not needed }
-//   keeper.on_record(record, table.apply(offset, record), now);   // every record of the stream
+//   keeper.on_record(offset, record, table.apply(offset, record), now);  // all records
 //   if (auto fencing = keeper.authority(clock())) { act, now }
 
 namespace wagtailhitch {
@@ -41,7 +41,7 @@
 
     /// A record of this duty was folded. Authority is extended only here, never by the reply to an
     /// append, because a reply can be lost.
-    void on_record(const lease_record& record, bool accepted, time_point now);
+    void on_record(log_offset offset, const lease_record& record, bool accepted, time_point now);
 
     /// Gives the duty up: there is no authority from now on, and the next tick appends a release.
     void give_up();
@@ -68,11 +68,12 @@
     lease_settings settings_;
     std::uint64_t next_nonce_{1};
     std::map<std::uint64_t, time_point> sent_; // nonce -> time read before sending
-    std::optional<time_point> first_tick_;
-    time_point latest_read_{}; // when this VM read the duty's latest accepted record
+    // When this VM read the duty's latest accepted record, or began to look for one.
+    std::optional<time_point> latest_read_;
     time_point next_append_{};
     time_point authority_until_{};
     fencing_number fencing_{0};
+    bool held_{false};
     bool giving_up_{false};
 };
 
--- a/src/session/session_policy.hpp
+++ b/src/session/session_policy.hpp
@@ -19,7 +19,7 @@
 //   }};
 //   auto choice = policy.choose({team, model, token, "", "s-77"}, document, {revision, age});
 //   const version_id& used = pick_version(choice->candidates, random());
-//   issue_session_token(key, {team, choice->session, choice->model, used, revision, wall_ms});
+//   issue_session_token(key, {team, choice->session, model, used, revision, wall_ms});
 
 namespace wagtailhitch {
 
@@ -68,8 +68,9 @@
     session_policy(session_settings settings, exposed_share share);
 
     /// Errors, all not_run: unknown_model, unknown_team, model_not_allowed,
-    /// session_token_invalid (token of another team), session_version_withdrawn, and
-    /// log_unavailable when the only versions left may not be served unconfirmed.
+    /// session_token_invalid (token of another team), session_version_withdrawn, not_ready (the
+    /// token names a version that this VM does not know yet), and log_unavailable when the
+    /// session's version, or every version left, may not be served unconfirmed.
     [[nodiscard]] expected<session_choice> choose(const session_query& query, const document& doc,
                                                   const configuration_age& age) const;
 
--- a/src/session/session_token.hpp
+++ b/src/session/session_token.hpp
@@ -18,8 +18,8 @@
 struct session_token {
     team_id team;
     std::string session; ///< id of the session
-    model_id model;
-    version_id version;
+    model_id model;     ///< as asked for by the caller, also when a replacement is of another model
+    version_id version; ///< that the session keeps
     revision issued_at_revision{0}; ///< configuration in force at the issuing VM
     std::int64_t issued_ms{0};      ///< Unix milliseconds
 
--- a/src/session/ticket.hpp
+++ b/src/session/ticket.hpp
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 #include <deque>
-#include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -34,9 +34,9 @@
 expected<ticket> verify_ticket(std::string_view key, std::string_view text);
 
 struct ticket_settings {
-    std::size_t window{65'536};                 ///< newest tickets that can be used
-    std::size_t maximum_answer_bytes{4096};     ///< larger answers are not kept
-    std::size_t answers_bytes{8 * 1024 * 1024}; ///< of all kept answers
+    std::size_t window{65'536};                              ///< newest tickets that can be used
+    std::size_t maximum_answer_bytes{4096};                  ///< larger answers are not kept
+    std::size_t answers_bytes{std::size_t{8} * 1024 * 1024}; ///< of all kept answers
 };
 
 /// The answer of a finished ticket, kept for repeats.
@@ -85,24 +85,20 @@
 
 private:
     enum class slot_state : std::uint8_t { unused, running, finished, unknown };
-    struct slot {
+    struct ticket_slot {
         std::uint64_t digest{0};
         slot_state state{slot_state::unused};
     };
-    struct kept_answer {
-        std::uint64_t sequence{0};
-        ticket_answer_record answer;
-    };
 
-    [[nodiscard]] slot* find(std::uint64_t sequence);
+    [[nodiscard]] ticket_slot* find(std::uint64_t sequence);
     [[nodiscard]] ticket_decision repeat(std::uint64_t sequence) const;
-    void drop_oldest_answer();
+    void drop_answer(std::uint64_t sequence);
 
     process_id self_;
     ticket_settings settings_;
     std::uint64_t first_{1}; // sequence of slots_.front()
-    std::deque<slot> slots_;
-    std::deque<kept_answer> answers_; // in order of completion
+    std::deque<ticket_slot> slots_;
+    std::map<std::uint64_t, ticket_answer_record> answers_; // by sequence
     std::size_t bytes_{0};
 };
 
