--- /dev/null
+++ b/src/net/endpoint.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/error.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <string>
+#include <string_view>
+
+// TCP types of the I/O threads. Each io_context runs on one thread, so its executor is used
+// directly, without strands or type erasure.
+
+namespace wagtailhitch::detail {
+
+using tcp = boost::asio::ip::tcp;
+using executor_type = boost::asio::io_context::executor_type;
+using tcp_socket = boost::asio::basic_stream_socket<tcp, executor_type>;
+using tcp_acceptor = boost::asio::basic_socket_acceptor<tcp, executor_type>;
+
+/// Errors: internal when the text is not "IP:port" or "[IP]:port".
+expected<tcp::endpoint> parse_endpoint(std::string_view text);
+std::string to_string(const tcp::endpoint& endpoint);
+
+/// Opens, binds and listens. Errors: internal with the address.
+expected<void> listen_on(tcp_acceptor& acceptor, const std::string& address);
+
+/// True when an idle connection is still open and has no unread bytes.
+bool is_quiet_and_open(tcp_socket& socket);
+
+} // namespace wagtailhitch::detail
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,482 @@
+#include "net/http_client.hpp"
+
+#include "net/endpoint.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace wagtailhitch::detail {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost_error = boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t read_size = 16U * 1024;
+
+class exchange;
+
+struct connection {
+    explicit connection(asio::io_context& io) : socket{io.get_executor()} {}
+
+    tcp_socket socket;
+    time_point idle_since;
+};
+
+using connection_ptr = std::unique_ptr<connection>;
+
+/// A line break in a header or target would let its content act as further headers.
+bool has_line_break(std::string_view text)
+{
+    return text.find_first_of("\r\n") != std::string_view::npos;
+}
+
+bool is_well_formed(const http_call& call)
+{
+    if (call.target.find_first_of("\r\n ") != std::string::npos || has_line_break(call.method)) {
+        return false;
+    }
+    return std::none_of(call.headers.begin(), call.headers.end(), [](const auto& header) {
+        return has_line_break(header.first) || has_line_break(header.second);
+    });
+}
+
+std::string request_text(const http_call& call)
+{
+    std::string out;
+    out.reserve(256 + call.body.size());
+    out.append(call.method).append(" ").append(call.target).append(" HTTP/1.1\r\nHost: ");
+    out.append(call.address).append("\r\n");
+    for (const auto& [name, value] : call.headers) {
+        out.append(name).append(": ").append(value).append("\r\n");
+    }
+    if (!call.body.empty() || call.method != "GET") {
+        out.append("Content-Length: ").append(std::to_string(call.body.size())).append("\r\n");
+    }
+    out.append("\r\n").append(call.body);
+    return out;
+}
+
+} // namespace
+
+struct http_client::state : std::enable_shared_from_this<state> {
+    state(asio::io_context& context, http_client_settings values, input_sender& inputs)
+        : io{context}, settings{values}, sender{inputs}, timer{context}
+    {
+    }
+
+    connection_ptr take(const std::string& address);
+    void keep(const std::string& address, connection_ptr conn);
+    void watch(exchange* call);
+    void schedule_sweep();
+    void sweep();
+
+    asio::io_context& io;
+    http_client_settings settings;
+    input_sender& sender;
+    asio::steady_timer timer;
+    bool sweeping{false};
+    bool closed{false};
+    std::unordered_set<exchange*> active;
+    std::unordered_map<std::string, std::vector<connection_ptr>> idle;
+};
+
+namespace {
+
+time_point clock_now()
+{
+    return time_point{std::chrono::steady_clock::now()};
+}
+
+/// One request and its answer on one connection.
+class exchange final : public http_call_handle, public std::enable_shared_from_this<exchange> {
+public:
+    exchange(std::shared_ptr<http_client::state> owner, http_call call, http_hooks hooks);
+
+    void begin();
+    void cancel() override;
+    /// Ends the call when its deadline has passed; the pending operation then reports it.
+    void check_deadline(time_point now);
+
+private:
+    void connect();
+    void on_connected(boost_error ec);
+    void write();
+    void on_written(boost_error ec, std::size_t n);
+    void read();
+    void on_read(boost_error ec, std::size_t n);
+    void on_end_of_file();
+    bool parse();
+    void report_header();
+    void report_body();
+    void complete();
+    void fail(const std::string& detail);
+    void leave();
+
+    std::shared_ptr<http_client::state> owner_;
+    http_call call_;
+    http_hooks hooks_;
+    connection_ptr connection_;
+    std::string text_;
+    beast::flat_buffer buffer_;
+    http::response_parser<http::string_body> parser_;
+    call_stage stage_{call_stage::connecting};
+    time_point started_;
+    time_point deadline_;
+    bool reused_{false};
+    bool written_{false};
+    bool timed_out_{false};
+    bool ended_{false};
+    bool header_reported_{false};
+};
+
+exchange::exchange(std::shared_ptr<http_client::state> owner, http_call call, http_hooks hooks)
+    : owner_{std::move(owner)}, call_{std::move(call)}, hooks_{std::move(hooks)}
+{
+    parser_.eager(true);
+    parser_.skip(call_.method == "HEAD");
+    parser_.header_limit(static_cast<std::uint32_t>(owner_->settings.header_limit));
+    if (call_.body_limit == 0) {
+        parser_.body_limit(boost::none);
+    }
+    else {
+        parser_.body_limit(call_.body_limit);
+    }
+}
+
+void exchange::begin()
+{
+    started_ = clock_now();
+    if (!is_well_formed(call_)) {
+        asio::post(owner_->io, [self = shared_from_this()] {
+            self->fail("The request has a line break in its target or a header.");
+        });
+        return;
+    }
+    text_ = request_text(call_);
+    connection_ = owner_->take(call_.address);
+    if (connection_) {
+        reused_ = true;
+        write();
+        return;
+    }
+    connect();
+}
+
+void exchange::connect()
+{
+    stage_ = call_stage::connecting;
+    deadline_ = std::min(clock_now() + owner_->settings.connect_timeout,
+                         started_ + call_.first_byte_timeout);
+    connection_ = std::make_unique<connection>(owner_->io);
+    const auto endpoint = parse_endpoint(call_.address);
+    if (!endpoint) {
+        asio::post(owner_->io, [self = shared_from_this(), detail = endpoint.error().detail] {
+            self->fail(detail);
+        });
+        return;
+    }
+    connection_->socket.async_connect(
+        *endpoint, [self = shared_from_this()](boost_error ec) { self->on_connected(ec); });
+}
+
+void exchange::on_connected(boost_error ec)
+{
+    if (ended_) {
+        return;
+    }
+    if (ec) {
+        fail(ec.message());
+        return;
+    }
+    connection_->socket.set_option(tcp::no_delay{true}, ec);
+    write();
+}
+
+void exchange::write()
+{
+    stage_ = call_stage::sending;
+    deadline_ = started_ + call_.first_byte_timeout;
+    asio::async_write(
+        connection_->socket, asio::buffer(text_),
+        [self = shared_from_this()](boost_error ec, std::size_t n) { self->on_written(ec, n); });
+}
+
+void exchange::on_written(boost_error ec, std::size_t n)
+{
+    if (ended_) {
+        return;
+    }
+    if (ec && n == 0 && reused_ && !timed_out_) {
+        // The kept connection was closed by the server; nothing has left yet.
+        reused_ = false;
+        connect();
+        return;
+    }
+    written_ = n > 0;
+    if (ec) {
+        fail(ec.message());
+        return;
+    }
+    stage_ = call_stage::waiting;
+    read();
+}
+
+void exchange::read()
+{
+    if (ended_) {
+        return;
+    }
+    if (owner_->sender.congested()) {
+        owner_->sender.when_clear([self = shared_from_this()] { self->read(); });
+        return;
+    }
+    connection_->socket.async_read_some(
+        buffer_.prepare(read_size),
+        [self = shared_from_this()](boost_error ec, std::size_t n) { self->on_read(ec, n); });
+}
+
+void exchange::on_read(boost_error ec, std::size_t n)
+{
+    if (ended_) {
+        return;
+    }
+    if (ec == asio::error::eof) {
+        on_end_of_file();
+        return;
+    }
+    if (ec) {
+        fail(ec.message());
+        return;
+    }
+    buffer_.commit(n);
+    if (stage_ == call_stage::waiting) {
+        stage_ = call_stage::receiving;
+    }
+    if (parse() && !ended_) {
+        read();
+    }
+}
+
+void exchange::on_end_of_file()
+{
+    boost_error ec;
+    if (parser_.got_some()) {
+        parser_.put_eof(ec);
+    }
+    if (parser_.is_done() && !ec) {
+        complete();
+        return;
+    }
+    fail(ec ? ec.message() : "The connection was closed before the answer.");
+}
+
+bool exchange::parse()
+{
+    while (buffer_.size() > 0 && !parser_.is_done()) {
+        boost_error ec;
+        const std::size_t n = parser_.put(buffer_.data(), ec);
+        buffer_.consume(n);
+        if (ec && ec != http::error::need_more) {
+            fail(ec.message());
+            return false;
+        }
+        if (ec == http::error::need_more || n == 0) {
+            break;
+        }
+    }
+    report_header();
+    report_body();
+    if (!ended_ && parser_.is_done()) {
+        complete();
+    }
+    return !ended_;
+}
+
+void exchange::report_header()
+{
+    if (ended_ || header_reported_ || !parser_.is_header_done()) {
+        return;
+    }
+    header_reported_ = true;
+    const auto& head = parser_.get();
+    answer_head out;
+    out.status = head.result_int();
+    out.content_type = std::string{head[http::field::content_type]};
+    out.request_id = std::string{head["X-Request-Id"]};
+    out.retry_after = std::string{head[http::field::retry_after]};
+    if (hooks_.on_header) {
+        hooks_.on_header(std::move(out));
+    }
+}
+
+void exchange::report_body()
+{
+    if (ended_ || !header_reported_ || parser_.get().body().empty()) {
+        return;
+    }
+    deadline_ = clock_now() + call_.progress_timeout;
+    std::string data;
+    data.swap(parser_.get().body());
+    if (hooks_.on_data) {
+        hooks_.on_data(data);
+    }
+}
+
+void exchange::complete()
+{
+    if (ended_) {
+        return;
+    }
+    const bool reusable = parser_.keep_alive() && buffer_.size() == 0;
+    leave();
+    if (reusable) {
+        owner_->keep(call_.address, std::move(connection_));
+    }
+    const auto hooks = std::exchange(hooks_, {});
+    hooks.on_end(nullptr);
+}
+
+void exchange::fail(const std::string& detail)
+{
+    if (ended_) {
+        return;
+    }
+    leave();
+    const call_failure failure{stage_, written_, timed_out_,
+                               timed_out_ ? "The deadline passed without progress." : detail};
+    connection_.reset();
+    const auto hooks = std::exchange(hooks_, {});
+    hooks.on_end(&failure);
+}
+
+void exchange::cancel()
+{
+    if (ended_) {
+        return;
+    }
+    leave();
+    hooks_ = {};
+    if (connection_) {
+        boost_error ignored;
+        connection_->socket.close(ignored);
+    }
+}
+
+void exchange::leave()
+{
+    ended_ = true;
+    owner_->active.erase(this);
+}
+
+void exchange::check_deadline(time_point now)
+{
+    if (ended_ || timed_out_ || now < deadline_ || !connection_ || owner_->sender.congested()) {
+        return;
+    }
+    timed_out_ = true;
+    boost_error ignored;
+    connection_->socket.close(ignored);
+}
+
+} // namespace
+
+connection_ptr http_client::state::take(const std::string& address)
+{
+    const auto it = idle.find(address);
+    if (it == idle.end()) {
+        return nullptr;
+    }
+    const time_point oldest = clock_now() - settings.idle_timeout;
+    while (!it->second.empty()) {
+        connection_ptr conn = std::move(it->second.back());
+        it->second.pop_back();
+        if (conn->idle_since >= oldest && is_quiet_and_open(conn->socket)) {
+            return conn;
+        }
+    }
+    idle.erase(it);
+    return nullptr;
+}
+
+void http_client::state::keep(const std::string& address, connection_ptr conn)
+{
+    auto& kept = idle[address];
+    if (closed || kept.size() >= settings.idle_per_address) {
+        return;
+    }
+    conn->idle_since = clock_now();
+    kept.push_back(std::move(conn));
+}
+
+void http_client::state::watch(exchange* call)
+{
+    active.insert(call);
+    if (!sweeping) {
+        sweeping = true;
+        schedule_sweep();
+    }
+}
+
+void http_client::state::schedule_sweep()
+{
+    timer.expires_after(settings.sweep_interval);
+    timer.async_wait([self = shared_from_this()](boost_error ec) {
+        if (!ec) {
+            self->sweep();
+        }
+    });
+}
+
+void http_client::state::sweep()
+{
+    const time_point now = clock_now();
+    for (exchange* call : active) {
+        call->check_deadline(now);
+    }
+    if (active.empty()) {
+        sweeping = false;
+        return;
+    }
+    schedule_sweep();
+}
+
+http_client::http_client(asio::io_context& io, http_client_settings settings, input_sender& sender)
+    : state_{std::make_shared<state>(io, settings, sender)}
+{
+}
+
+http_client::~http_client()
+{
+    state_->closed = true;
+    state_->timer.cancel();
+    for (exchange* call : std::vector<exchange*>{state_->active.begin(), state_->active.end()}) {
+        call->cancel();
+    }
+    state_->idle.clear();
+}
+
+http_call_ptr http_client::start(http_call call, http_hooks hooks)
+{
+    auto out = std::make_shared<exchange>(state_, std::move(call), std::move(hooks));
+    state_->watch(out.get());
+    out->begin();
+    return out;
+}
+
+void http_client::forget(const std::string& address)
+{
+    state_->idle.erase(address);
+}
+
+} // namespace wagtailhitch::detail
--- /dev/null
+++ b/src/net/upstream_client.cpp
@@ -0,0 +1,276 @@
+#include "net/upstream_client.hpp"
+
+#include "base/metrics.hpp"
+#include "net/http_client.hpp"
+#include "net/upstream_attempt.hpp"
+#include "net/upstream_probe.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+
+namespace wagtailhitch {
+
+using json = nlohmann::json;
+
+namespace {
+
+/// Failed generations that can still be cancelled by name; older ones end by the engine's own rule.
+constexpr std::size_t remembered_failures = 256;
+constexpr std::size_t probe_body_limit = 256U * 1024;
+
+detail::http_client_settings client_settings(const upstream_client_settings& settings)
+{
+    detail::http_client_settings out;
+    out.connect_timeout = settings.connect_timeout;
+    out.idle_timeout = settings.idle_timeout;
+    out.idle_per_address = settings.idle_per_upstream;
+    out.sweep_interval = settings.sweep_interval;
+    return out;
+}
+
+} // namespace
+
+struct upstream_client::state : std::enable_shared_from_this<state> {
+    struct running_attempt {
+        std::shared_ptr<detail::upstream_attempt> attempt;
+        detail::http_call_ptr call;
+    };
+
+    state(boost::asio::io_context& context, upstream_client_settings values, input_sink sink,
+          metrics& registry)
+        : io{context}, settings{values}, sender{context, std::move(sink),
+                                                registry.count("upstream_inputs_delayed_total")},
+          client{context, client_settings(values), sender}, started{registry.count(
+                                                                "upstream_attempts_total")},
+          finished{registry.count("upstream_attempts_finished_total")},
+          cancelled{registry.count("upstream_attempts_cancelled_total")}, registry_{registry}
+    {
+    }
+
+    void start(attempt_start&& message);
+    void end(const attempt_id& id, const detail::call_failure* failure);
+    void emit(const std::string& address, input message);
+    void note_failure(const std::string& address, const attempt_failed& failure);
+    void cancel(attempt_cancel&& message);
+    void cancel_generation(const std::string& address, const attempt_id& id);
+    void probe(probe_upstream&& message);
+    void poll_cache_events(const probe_upstream& message);
+    void order(upstream_order&& message);
+    void fetch(detail::http_call call, detail::whole_answer_hook done);
+
+    boost::asio::io_context& io;
+    upstream_client_settings settings;
+    input_sender sender;
+    detail::http_client client;
+    counter& started;
+    counter& finished;
+    counter& cancelled;
+    metrics& registry_;
+    std::map<attempt_id, running_attempt> attempts;
+    std::deque<attempt_id> failed_generations;
+    std::map<upstream_id, std::uint64_t> next_cache_event;
+};
+
+void upstream_client::state::start(attempt_start&& message)
+{
+    started.add();
+    const attempt_id id = message.attempt;
+    const std::string address = message.address;
+    auto attempt = std::make_shared<detail::upstream_attempt>(
+        std::move(message), settings.chunk_limit,
+        [this, address](input event) { emit(address, std::move(event)); });
+    auto call = attempt->call(settings.body_limit);
+    detail::http_hooks hooks;
+    hooks.on_header = [attempt](detail::answer_head head) { attempt->on_header(std::move(head)); };
+    hooks.on_data = [attempt](std::string_view bytes) { attempt->on_data(bytes); };
+    hooks.on_end = [this, attempt, id](const detail::call_failure* failure) {
+        attempt->on_end(failure);
+        attempts.erase(id);
+    };
+    auto& slot = attempts[id];
+    slot.attempt = attempt;
+    auto handle = client.start(std::move(call), std::move(hooks));
+    const auto it = attempts.find(id);
+    if (it != attempts.end()) {
+        it->second.call = std::move(handle);
+    }
+}
+
+void upstream_client::state::emit(const std::string& address, input message)
+{
+    if (const auto* failure = std::get_if<attempt_failed>(&message)) {
+        note_failure(address, *failure);
+    }
+    else if (std::holds_alternative<attempt_finished>(message)) {
+        finished.add();
+    }
+    sender.send(std::move(message));
+}
+
+void upstream_client::state::note_failure(const std::string& address, const attempt_failed& failure)
+{
+    registry_
+        .count("upstream_attempts_failed_total",
+               {{"code", std::string{name_of(failure.reason.code)}},
+                {"run", std::string{name_of(failure.reason.run)}}})
+        .add();
+    if (failure.reason.code == error_code::upstream_timeout ||
+        failure.reason.code == error_code::upstream_connect_failed) {
+        // Kept connections to a silent upstream may be silent as well.
+        client.forget(address);
+    }
+    const auto it = attempts.find(failure.attempt);
+    if (it == attempts.end()) {
+        return;
+    }
+    if (it->second.attempt->message().kind != attempt_kind::service_call) {
+        failed_generations.push_back(failure.attempt);
+        if (failed_generations.size() > remembered_failures) {
+            failed_generations.pop_front();
+        }
+    }
+    if (it->second.call) {
+        // A broken stream may still be sending; posted because its own hook is running.
+        boost::asio::post(io, [self = shared_from_this(), id = failure.attempt] {
+            const auto slot = self->attempts.find(id);
+            if (slot != self->attempts.end()) {
+                slot->second.call->cancel();
+                self->attempts.erase(slot);
+            }
+        });
+    }
+}
+
+void upstream_client::state::cancel(attempt_cancel&& message)
+{
+    const auto it = attempts.find(message.attempt);
+    if (it != attempts.end()) {
+        const bool generation = it->second.attempt->message().kind != attempt_kind::service_call;
+        cancelled.add();
+        it->second.call->cancel();
+        attempts.erase(it);
+        if (generation) {
+            cancel_generation(message.address, message.attempt);
+        }
+        return;
+    }
+    const auto failed =
+        std::find(failed_generations.begin(), failed_generations.end(), message.attempt);
+    if (failed != failed_generations.end()) {
+        failed_generations.erase(failed);
+        cancel_generation(message.address, message.attempt);
+    }
+}
+
+void upstream_client::state::cancel_generation(const std::string& address, const attempt_id& id)
+{
+    detail::http_call call;
+    call.address = address;
+    call.method = "DELETE";
+    call.target = "/v1/generations/" + detail::encode_path_segment(to_string(id.request));
+    call.headers = {{"X-Request-Id", to_string(id.request)},
+                    {"X-Attempt", std::to_string(id.number)}};
+    call.first_byte_timeout = settings.cancel_timeout;
+    call.progress_timeout = settings.cancel_timeout;
+    fetch(std::move(call), [](const detail::whole_answer&) {});
+}
+
+void upstream_client::state::fetch(detail::http_call call, detail::whole_answer_hook done)
+{
+    auto answer = std::make_shared<detail::whole_answer>();
+    detail::http_hooks hooks;
+    hooks.on_header = [answer](const detail::answer_head& head) { answer->status = head.status; };
+    hooks.on_data = [answer](std::string_view bytes) { answer->body.append(bytes); };
+    hooks.on_end = [answer, hook = std::move(done)](const detail::call_failure* failure) {
+        if (failure != nullptr) {
+            answer->failure = *failure;
+        }
+        hook(*answer);
+    };
+    client.start(std::move(call), std::move(hooks));
+}
+
+void upstream_client::state::probe(probe_upstream&& message)
+{
+    detail::http_call call;
+    call.address = message.address;
+    call.target = message.engine ? "/v1/load" : "/healthz";
+    call.first_byte_timeout = settings.probe_timeout;
+    call.progress_timeout = settings.probe_timeout;
+    call.body_limit = probe_body_limit;
+    fetch(std::move(call), [this, message](const detail::whole_answer& answer) {
+        probe_result result = detail::parse_probe(message, answer);
+        const bool reachable = result.reachable;
+        sender.send(std::move(result));
+        if (message.engine && reachable) {
+            poll_cache_events(message);
+        }
+    });
+}
+
+void upstream_client::state::poll_cache_events(const probe_upstream& message)
+{
+    detail::http_call call;
+    const std::uint64_t from = next_cache_event[message.upstream];
+    call.address = message.address;
+    call.target = "/v1/cache-events?from=" + std::to_string(from);
+    call.first_byte_timeout = settings.probe_timeout;
+    call.progress_timeout = settings.probe_timeout;
+    fetch(std::move(call), [this, id = message.upstream, from](const detail::whole_answer& answer) {
+        auto page = detail::parse_cache_events(id, from, answer);
+        next_cache_event[id] = page.next;
+        if (page.events.gap || !page.events.stored.empty() || !page.events.evicted.empty()) {
+            sender.send(std::move(page.events));
+        }
+    });
+}
+
+void upstream_client::state::order(upstream_order&& message)
+{
+    detail::http_call call;
+    call.address = message.address;
+    call.method = "POST";
+    call.target = "/v1/orders";
+    call.headers = {{"Content-Type", "application/json"}};
+    call.body = detail::order_body(message);
+    call.first_byte_timeout = settings.order_timeout;
+    call.progress_timeout = settings.order_timeout;
+    fetch(std::move(call), [this, message](const detail::whole_answer& answer) {
+        sender.send(detail::parse_order_result(message, answer));
+    });
+}
+
+upstream_client::upstream_client(boost::asio::io_context& io, upstream_client_settings settings,
+                                 input_sink sink, metrics& registry)
+    : state_{std::make_shared<state>(io, settings, std::move(sink), registry)}
+{
+}
+
+upstream_client::~upstream_client() = default;
+
+void upstream_client::handle(attempt_start&& message)
+{
+    state_->start(std::move(message));
+}
+
+void upstream_client::handle(attempt_cancel&& message)
+{
+    state_->cancel(std::move(message));
+}
+
+void upstream_client::handle(probe_upstream&& message)
+{
+    state_->probe(std::move(message));
+}
+
+void upstream_client::handle(upstream_order&& message)
+{
+    state_->order(std::move(message));
+}
+
+} // namespace wagtailhitch
--- a/src/net/upstream_client.hpp
+++ b/src/net/upstream_client.hpp
@@ -15,9 +15,12 @@
 // Each attempt_start yields exactly one attempt_finished or attempt_failed, unless it is cancelled,
 // in which case nothing further is reported. `reason.run` of a failure:
 //
-//   not_run          nothing was written, or the upstream refused before it began
-//   outcome_unknown  the request may have reached the upstream and no complete answer came back
-//   ran              the upstream answered that it failed, or the answer itself was broken
+//   not_run          nothing was written, or the upstream refused before it began (4xx to a chat,
+//                    503 to anything)
+//   outcome_unknown  the request may have reached the upstream and no usable answer came back
+//   ran              the answer began, and then was malformed or said that it failed
+//
+// A service's answer is passed on with whatever status it has, except 503.
 
 namespace wagtailhitch {
 
