--- a/src/net/caller_server.hpp
+++ b/src/net/caller_server.hpp
@@ -55,8 +55,13 @@
     void handle(answer_error&& message);
     void handle(published_state&& message);
 
-    /// Accepts no further connections; open connections close after their current answer.
+    /// From now on `/readyz` says no and answers close their connections, so that callers move to
+    /// other nodes; new connections are still accepted.
     void drain();
+    /// Accepts no further connections and closes those without an answer due.
+    void close_idle();
+    /// True when no answer is due and everything was written.
+    [[nodiscard]] bool quiet() const;
 
 private:
     struct state;
--- /dev/null
+++ b/src/net/json_guard.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <string_view>
+
+// Parsing of JSON and MessagePack that came from the network.
+//
+//   auto body = parse_json(text);      // nothing when malformed or nested too deeply
+//
+// nlohmann::json recurses when it reads MessagePack and when it writes JSON, so the depth is
+// bounded before a value is built.
+
+namespace wagtailhitch::detail {
+
+inline constexpr std::size_t json_depth_limit = 64;
+
+std::optional<nlohmann::json> parse_json(std::string_view text);
+std::optional<nlohmann::json> parse_msgpack(std::string_view bytes);
+
+} // namespace wagtailhitch::detail
--- a/src/net/upstream_attempt.cpp
+++ b/src/net/upstream_attempt.cpp
@@ -1,5 +1,7 @@
 #include "net/upstream_attempt.hpp"
 
+#include "net/json_guard.hpp"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -30,7 +32,7 @@
 /// Engines say in the refusal's body when to come again.
 std::optional<duration> retry_after_in(const std::string& body)
 {
-    const json refusal = json::parse(body, nullptr, false);
+    const json refusal = parse_json(body).value_or(json{});
     if (!refusal.is_object() || !refusal.contains("retry_after_ms") ||
         !refusal["retry_after_ms"].is_number_unsigned()) {
         return std::nullopt;
@@ -178,7 +180,7 @@
         end_stream();
         return;
     }
-    const json event = json::parse(data, nullptr, false);
+    const json event = parse_json(data).value_or(json{});
     if (!event.is_object()) {
         fail(error_code::stream_broken, run_state::ran, "An event is not a JSON object.");
         return;
--- a/src/net/upstream_probe.cpp
+++ b/src/net/upstream_probe.cpp
@@ -1,5 +1,7 @@
 #include "net/upstream_probe.hpp"
 
+#include "net/json_guard.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace wagtailhitch::detail {
@@ -63,7 +65,7 @@
     if (!answer.ok()) {
         return out;
     }
-    const json body = json::parse(answer.body, nullptr, false);
+    const json body = parse_json(answer.body).value_or(json{});
     out.reachable = body.is_object() || !probe.engine;
     if (body.is_object()) {
         read_load(body, out);
@@ -80,7 +82,7 @@
     if (!answer.ok()) {
         return out;
     }
-    const json body = json::parse(answer.body, nullptr, false);
+    const json body = parse_json(answer.body).value_or(json{});
     if (!body.is_object() || !body.contains("next") || !body["next"].is_number_unsigned()) {
         out.events.gap = true;
         return out;
--- /dev/null
+++ b/src/node/runtime/output_router.cpp
@@ -0,0 +1,223 @@
+#include "node/runtime/output_router.hpp"
+
+#include "base/metrics.hpp"
+
+#include <type_traits>
+
+namespace wagtailhitch {
+
+namespace {
+
+/// More kept messages than this mean that a thread has stopped taking any.
+constexpr std::size_t kept_limit = 4096;
+
+error ring_full(step at, std::string peer)
+{
+    return error{error_code::ring_full,
+                 at,
+                 std::move(peer),
+                 run_state::not_run,
+                 "The node has more work than its threads take in.",
+                 100ms};
+}
+
+error lost_answer()
+{
+    return error{error_code::ring_full,
+                 step::stream,
+                 {},
+                 run_state::ran,
+                 "A part of the answer was lost because the node is overloaded.",
+                 {}};
+}
+
+constexpr std::size_t index_of(io_duty duty)
+{
+    return static_cast<std::size_t>(duty);
+}
+
+} // namespace
+
+output_router::output_router(rings targets, metrics& registry) : rings_{targets}
+{
+    for (const auto& [duty, name] : enum_names<io_duty>) {
+        refused_.at(index_of(duty)) =
+            &registry.count("ring_full_total", {{"to", std::string{name}}});
+    }
+}
+
+void output_router::route(output&& message)
+{
+    std::visit([this](auto&& it) { take(std::move(it)); }, std::move(message));
+}
+
+std::optional<input> output_router::take_refusal()
+{
+    if (refusals_.empty()) {
+        return std::nullopt;
+    }
+    input out = std::move(refusals_.front());
+    refusals_.pop_front();
+    return out;
+}
+
+void output_router::retry()
+{
+    for (const auto& [duty, name] : enum_names<io_duty>) {
+        auto& kept = kept_.at(index_of(duty));
+        while (!kept.empty()) {
+            const auto* failed = std::get_if<answer_error>(&kept.front());
+            const caller_token broken = failed != nullptr ? failed->caller : 0;
+            if (!rings_.at(index_of(duty))->try_push(kept.front())) {
+                break;
+            }
+            broken_.erase(broken);
+            kept.pop_front();
+        }
+    }
+}
+
+bool output_router::push(io_duty duty, output& message)
+{
+    if (rings_.at(index_of(duty))->try_push(message)) {
+        return true;
+    }
+    refused_.at(index_of(duty))->add();
+    return false;
+}
+
+void output_router::keep(io_duty duty, output&& message)
+{
+    auto& kept = kept_.at(index_of(duty));
+    if (kept.size() < kept_limit) {
+        kept.push_back(std::move(message));
+    }
+}
+
+template<typename Answer> void output_router::answer(Answer&& message)
+{
+    const caller_token caller = message.caller;
+    if (broken_.contains(caller)) {
+        return;
+    }
+    output out{std::forward<Answer>(message)};
+    if (!push(io_duty::callers, out)) {
+        break_answer(caller);
+    }
+}
+
+void output_router::break_answer(caller_token caller)
+{
+    broken_.insert(caller);
+    keep(io_duty::callers, answer_error{caller, lost_answer()});
+    refusals_.emplace_back(caller_gone{caller});
+}
+
+void output_router::take(answer_start&& message)
+{
+    answer(std::move(message));
+}
+
+void output_router::take(answer_chunk&& message)
+{
+    answer(std::move(message));
+}
+
+void output_router::take(answer_end&& message)
+{
+    answer(std::move(message));
+}
+
+void output_router::take(answer_whole&& message)
+{
+    answer(std::move(message));
+}
+
+void output_router::take(answer_error&& message)
+{
+    // A refusal is whole by itself, so it is kept as it is.
+    if (broken_.contains(message.caller)) {
+        return;
+    }
+    output out{std::move(message)};
+    if (!push(io_duty::callers, out)) {
+        broken_.insert(std::get<answer_error>(out).caller);
+        keep(io_duty::callers, std::move(out));
+    }
+}
+
+void output_router::take(published_state&& message)
+{
+    auto& kept = kept_.at(index_of(io_duty::callers));
+    std::erase_if(kept,
+                  [](const output& it) { return std::holds_alternative<published_state>(it); });
+    output out{std::move(message)};
+    if (!push(io_duty::callers, out)) {
+        keep(io_duty::callers, std::move(out));
+    }
+}
+
+void output_router::take(attempt_start&& message)
+{
+    output out{std::move(message)};
+    if (!push(io_duty::upstreams, out)) {
+        const auto& refused = std::get<attempt_start>(out);
+        refusals_.emplace_back(attempt_failed{refused.attempt,
+                                              ring_full(step::dispatch, refused.upstream.value),
+                                              refused.resume_from});
+    }
+}
+
+void output_router::take(attempt_cancel&& message)
+{
+    output out{std::move(message)};
+    if (!push(io_duty::upstreams, out)) {
+        keep(io_duty::upstreams, std::move(out));
+    }
+}
+
+void output_router::take(probe_upstream&& message)
+{
+    output out{std::move(message)};
+    static_cast<void>(push(io_duty::upstreams, out));
+}
+
+void output_router::take(upstream_order&& message)
+{
+    output out{std::move(message)};
+    if (!push(io_duty::upstreams, out)) {
+        const auto& refused = std::get<upstream_order>(out);
+        refusals_.emplace_back(order_result{refused.upstream, refused.order,
+                                            ring_full(step::dispatch, refused.upstream.value)});
+    }
+}
+
+void output_router::take(log_append&& message)
+{
+    output out{std::move(message)};
+    if (!push(io_duty::platform, out)) {
+        refusals_.emplace_back(append_result{std::get<log_append>(out).append,
+                                             tl::unexpected(ring_full(step::platform, "log"))});
+    }
+}
+
+void output_router::take(log_follow&& message)
+{
+    output out{std::move(message)};
+    if (!push(io_duty::platform, out)) {
+        keep(io_duty::platform, std::move(out));
+    }
+}
+
+void output_router::take(peer_send&& message)
+{
+    output out{std::move(message)};
+    static_cast<void>(push(io_duty::peers, out));
+}
+
+void output_router::take(stopped&& /*message*/)
+{
+    has_stopped_ = true;
+}
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/node/runtime/output_router.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "base/ring.hpp"
+#include "node/messages.hpp"
+
+#include <array>
+#include <deque>
+#include <memory>
+#include <unordered_set>
+
+// Hands the outputs of the decisions to the ring of the thread that carries them out.
+//
+//   output_router router{rings, registry};
+//   router.route(std::move(out));
+//   while (auto in = router.take_refusal()) { core.handle(*in, now, outputs); }
+//   router.retry();    // on every tick
+//
+// A full ring never blocks. What its loss would make wrong is refused as if by the thread itself:
+// an attempt fails with ring_full and not_run, an append likewise, and a caller whose answer has
+// lost a piece gets an error event instead of the rest. Cancellations, follows and the published
+// state are kept and offered again; probes and peer frames are dropped and counted.
+
+namespace wagtailhitch {
+
+class counter;
+class metrics;
+
+enum class io_duty { callers, upstreams, platform, peers };
+inline constexpr std::size_t io_duty_count = 4;
+
+template<>
+inline constexpr auto enum_names<io_duty> = name_table<io_duty, io_duty_count>{{
+    {io_duty::callers, "callers"},
+    {io_duty::upstreams, "upstreams"},
+    {io_duty::platform, "platform"},
+    {io_duty::peers, "peers"},
+}};
+
+class output_router {
+public:
+    using rings = std::array<ring<output>*, io_duty_count>;
+
+    output_router(rings targets, metrics& registry);
+
+    void route(output&& message);
+    /// The next input that stands for a refused output.
+    [[nodiscard]] std::optional<input> take_refusal();
+    /// Offers again what was kept.
+    void retry();
+    /// True once `stopped` was routed.
+    [[nodiscard]] bool has_stopped() const { return has_stopped_; }
+
+private:
+    bool push(io_duty duty, output& message);
+    void keep(io_duty duty, output&& message);
+    template<typename Answer> void answer(Answer&& message);
+    void break_answer(caller_token caller);
+
+    void take(answer_start&& message);
+    void take(answer_chunk&& message);
+    void take(answer_end&& message);
+    void take(answer_whole&& message);
+    void take(answer_error&& message);
+    void take(published_state&& message);
+    void take(attempt_start&& message);
+    void take(attempt_cancel&& message);
+    void take(probe_upstream&& message);
+    void take(upstream_order&& message);
+    void take(log_append&& message);
+    void take(log_follow&& message);
+    void take(peer_send&& message);
+    void take(stopped&& message);
+
+    rings rings_;
+    std::array<counter*, io_duty_count> refused_{};
+    std::array<std::deque<output>, io_duty_count> kept_;
+    std::unordered_set<caller_token> broken_;
+    std::deque<input> refusals_;
+    bool has_stopped_{false};
+};
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/node/runtime/runtime.cpp
@@ -0,0 +1,351 @@
+#include "node/runtime/runtime.hpp"
+
+#include "base/metrics.hpp"
+#include "node/runtime/io_thread.hpp"
+#include "node/runtime/output_router.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <glog/logging.h>
+
+#include <array>
+#include <csignal>
+
+namespace wagtailhitch {
+
+namespace asio = boost::asio;
+using boost_error = boost::system::error_code;
+
+namespace {
+
+/// Inputs of one thread that are handled before another thread's turn comes.
+constexpr std::size_t batch_size = 64;
+/// Turns in a row before timers and signals get theirs.
+constexpr std::size_t rounds_limit = 16;
+/// How long a stopping process waits for callers to take the ends of their answers.
+constexpr std::chrono::seconds last_writes_limit{5};
+/// Lets the last frames to peers and cancellations leave before the process ends.
+constexpr std::chrono::milliseconds last_writes_pause{50};
+
+std::size_t index_of(io_duty duty)
+{
+    return static_cast<std::size_t>(duty);
+}
+
+time_point clock_now()
+{
+    return time_point{std::chrono::steady_clock::now()};
+}
+
+} // namespace
+
+/// One I/O thread with its two rings.
+struct duty_thread {
+    duty_thread(std::size_t entries, detail::waker& decisions, std::function<void()> drain)
+        : wake_up{thread.io(), std::move(drain)}, outputs{entries, [this] { wake_up.wake(); }},
+          inputs{entries, [&decisions] { decisions.wake(); }}
+    {
+    }
+
+    detail::io_thread thread;
+    detail::waker wake_up;
+    ring<output> outputs;
+    ring<input> inputs;
+};
+
+struct runtime::state {
+    state(runtime_settings values, core_hooks hooks, metrics& counters);
+    ~state() { stop_threads(); }
+    state(const state&) = delete;
+    state& operator=(const state&) = delete;
+
+    [[nodiscard]] duty_thread& at(io_duty duty) { return *duties.at(index_of(duty)); }
+    [[nodiscard]] asio::io_context& io(io_duty duty) { return at(duty).thread.io(); }
+    [[nodiscard]] input_sink sink(io_duty duty);
+    [[nodiscard]] output_router::rings rings();
+    void take_output(io_duty duty, output&& message);
+    void drain_outputs(io_duty duty);
+    void drain_inputs();
+    bool handle_batch(ring<input>& from);
+    void decide(const input& message, time_point now);
+    void dispatch(time_point now);
+    void tick();
+    void wait_for_signal();
+    void ask_to_stop(const char* why);
+    void finish();
+    void wait_for_last_writes(time_point until);
+    void stop_threads();
+
+    runtime_settings settings;
+    core_hooks core;
+    metrics& registry;
+    detail::io_thread decisions;
+    detail::waker decisions_waker;
+    std::array<std::unique_ptr<duty_thread>, io_duty_count> duties;
+    std::unique_ptr<caller_server> callers;
+    std::unique_ptr<upstream_client> upstreams;
+    std::unique_ptr<platform_client> platform;
+    std::unique_ptr<peer_transport> peers;
+    std::unique_ptr<output_router> router;
+    asio::steady_timer tick_timer;
+    asio::steady_timer stop_timer;
+    asio::signal_set signals;
+    std::vector<output> scratch;
+    bool stop_asked{false};
+    bool finishing{false};
+};
+
+runtime::state::state(runtime_settings values, core_hooks hooks, metrics& counters)
+    : settings{std::move(values)}, core{std::move(hooks)}, registry{counters},
+      decisions_waker{decisions.io(), [this] { drain_inputs(); }}, tick_timer{decisions.io()},
+      stop_timer{decisions.io()}, signals{decisions.io()}
+{
+    for (const auto& [duty, name] : enum_names<io_duty>) {
+        duties.at(index_of(duty)) = std::make_unique<duty_thread>(
+            settings.ring_entries, decisions_waker, [this, d = duty] { drain_outputs(d); });
+    }
+    router = std::make_unique<output_router>(rings(), registry);
+    callers = std::make_unique<caller_server>(io(io_duty::callers), settings.callers,
+                                              sink(io_duty::callers), registry);
+    upstreams = std::make_unique<upstream_client>(io(io_duty::upstreams), settings.upstreams,
+                                                  sink(io_duty::upstreams), registry);
+    platform = std::make_unique<platform_client>(io(io_duty::platform), settings.platform,
+                                                 sink(io_duty::platform), registry);
+    peers = std::make_unique<peer_transport>(io(io_duty::peers), settings.peers,
+                                             sink(io_duty::peers), registry);
+}
+
+input_sink runtime::state::sink(io_duty duty)
+{
+    return [to = &at(duty).inputs](input& message) { return to->try_push(message); };
+}
+
+output_router::rings runtime::state::rings()
+{
+    output_router::rings out{};
+    for (const auto& [duty, name] : enum_names<io_duty>) {
+        out.at(index_of(duty)) = &at(duty).outputs;
+    }
+    return out;
+}
+
+void runtime::state::drain_outputs(io_duty duty)
+{
+    auto& from = at(duty).outputs;
+    while (auto message = from.pop()) {
+        take_output(duty, std::move(*message));
+    }
+}
+
+void runtime::state::take_output(io_duty duty, output&& message)
+{
+    const auto carry_out = [](auto& target) {
+        return [&target](auto&& it) {
+            if constexpr (requires { target.handle(std::move(it)); }) {
+                target.handle(std::move(it));
+            }
+        };
+    };
+    switch (duty) {
+    case io_duty::callers:
+        std::visit(carry_out(*callers), std::move(message));
+        break;
+    case io_duty::upstreams:
+        std::visit(carry_out(*upstreams), std::move(message));
+        break;
+    case io_duty::platform:
+        std::visit(carry_out(*platform), std::move(message));
+        break;
+    case io_duty::peers:
+        std::visit(carry_out(*peers), std::move(message));
+        break;
+    }
+}
+
+void runtime::state::drain_inputs()
+{
+    for (std::size_t round = 0; round < rounds_limit; ++round) {
+        bool any = false;
+        for (const auto& duty : duties) {
+            any = handle_batch(duty->inputs) || any;
+        }
+        if (!any) {
+            return;
+        }
+    }
+    decisions_waker.wake();
+}
+
+bool runtime::state::handle_batch(ring<input>& from)
+{
+    const time_point now = clock_now();
+    std::size_t n = 0;
+    while (n < batch_size) {
+        const auto message = from.pop();
+        if (!message) {
+            break;
+        }
+        core.handle(*message, now, scratch);
+        ++n;
+    }
+    dispatch(now);
+    return n == batch_size;
+}
+
+void runtime::state::decide(const input& message, time_point now)
+{
+    core.handle(message, now, scratch);
+    dispatch(now);
+}
+
+void runtime::state::dispatch(time_point now)
+{
+    while (!scratch.empty()) {
+        for (output& it : scratch) {
+            router->route(std::move(it));
+        }
+        scratch.clear();
+        while (const auto refusal = router->take_refusal()) {
+            core.handle(*refusal, now, scratch);
+        }
+    }
+    if (router->has_stopped() && !finishing) {
+        finishing = true;
+        finish();
+    }
+}
+
+void runtime::state::tick()
+{
+    const time_point now = clock_now();
+    router->retry();
+    core.tick(now, scratch);
+    dispatch(now);
+    tick_timer.expires_after(settings.tick_interval);
+    tick_timer.async_wait([this](boost_error ec) {
+        if (!ec) {
+            tick();
+        }
+    });
+}
+
+void runtime::state::wait_for_signal()
+{
+    signals.async_wait([this](boost_error ec, int number) {
+        if (ec) {
+            return;
+        }
+        ask_to_stop(number == SIGTERM ? "SIGTERM" : "SIGINT");
+        wait_for_signal();
+    });
+}
+
+void runtime::state::ask_to_stop(const char* why)
+{
+    if (stop_asked) {
+        return;
+    }
+    stop_asked = true;
+    LOG(INFO) << "Graceful shutdown begins: " << why << ".";
+    asio::post(io(io_duty::callers), [this] { callers->drain(); });
+    decide(stop_requested{}, clock_now());
+}
+
+void runtime::state::finish()
+{
+    LOG(INFO) << "Nothing is in flight any more; the threads end.";
+    // Posted behind the wake-up for the last outputs, so that these are carried out first.
+    asio::post(io(io_duty::callers), [this] {
+        drain_outputs(io_duty::callers);
+        callers->close_idle();
+        asio::post(decisions.io(),
+                   [this] { wait_for_last_writes(clock_now() + last_writes_limit); });
+    });
+}
+
+void runtime::state::wait_for_last_writes(time_point until)
+{
+    stop_timer.expires_after(last_writes_pause);
+    stop_timer.async_wait([this, until](boost_error ec) {
+        if (ec) {
+            return;
+        }
+        asio::post(io(io_duty::callers), [this, until] {
+            const bool done = callers->quiet() || clock_now() >= until;
+            asio::post(decisions.io(), [this, until, done] {
+                if (!done) {
+                    wait_for_last_writes(until);
+                    return;
+                }
+                for (const auto& duty : duties) {
+                    duty->thread.stop();
+                }
+                decisions.stop();
+            });
+        });
+    });
+}
+
+void runtime::state::stop_threads()
+{
+    decisions.stop();
+    decisions.join();
+    for (const auto& duty : duties) {
+        duty->thread.stop();
+        duty->thread.join();
+    }
+}
+
+runtime::runtime(runtime_settings settings, core_hooks core, metrics& registry)
+    : state_{std::make_unique<state>(std::move(settings), std::move(core), registry)}
+{
+}
+
+runtime::~runtime() = default;
+
+expected<void> runtime::start()
+{
+    if (auto bound = state_->callers->start(); !bound) {
+        return bound;
+    }
+    if (auto bound = state_->peers->start(); !bound) {
+        return bound;
+    }
+    state_->platform->start();
+    if (state_->settings.handle_signals) {
+        state_->signals.add(SIGTERM);
+        state_->signals.add(SIGINT);
+        state_->wait_for_signal();
+    }
+    asio::post(state_->decisions.io(), [this] { state_->tick(); });
+    for (const auto& [duty, name] : enum_names<io_duty>) {
+        state_->at(duty).thread.start(std::string{name});
+    }
+    state_->decisions.start("decisions");
+    return {};
+}
+
+void runtime::request_stop()
+{
+    asio::post(state_->decisions.io(), [this] { state_->ask_to_stop("asked by the process"); });
+}
+
+void runtime::wait()
+{
+    state_->decisions.join();
+    for (const auto& duty : state_->duties) {
+        duty->thread.join();
+    }
+}
+
+std::string runtime::caller_address() const
+{
+    return state_->callers->address();
+}
+
+std::string runtime::peer_address() const
+{
+    return state_->peers->address();
+}
+
+} // namespace wagtailhitch
