--- /dev/null
+++ b/standins/server_text.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "server.hpp"
+
+#include <string>
+#include <string_view>
+
+// The text of HTTP/1.1 responses and targets, for the stand-ins' server.
+
+namespace wagtailhitch::standins {
+
+inline constexpr std::string_view last_chunk = "0\r\n\r\n";
+
+std::string whole_response(unsigned status, std::string_view type, std::string_view body);
+std::string event_stream_head();
+/// One server-sent event as one transfer chunk.
+std::string event_chunk(std::string_view data);
+
+std::string lower_case(std::string_view text);
+/// Fills `path` and `query`.
+void split_target(std::string_view target, http_request& request);
+
+} // namespace wagtailhitch::standins
