--- a/src/config/change.hpp
+++ b/src/config/change.hpp
@@ -22,7 +22,7 @@
 inline constexpr std::string_view config_stream = "config";
 
 /// Upper bound of one record of the stream.
-inline constexpr std::size_t config_record_bytes = 32 * 1024;
+inline constexpr std::size_t config_record_bytes = std::size_t{32} * 1024;
 
 /// Upper bound of the parts of one change or snapshot: about 4 MiB, four times the document
 /// expected at 3,600 upstreams.
--- a/src/config/fold.hpp
+++ b/src/config/fold.hpp
@@ -139,7 +139,7 @@
     /// All VMs must agree on these bounds, as they decide which changes are evicted.
     std::size_t verdicts_kept{1024};
     std::size_t pending_count{64};
-    std::size_t pending_bytes{8 * 1024 * 1024};
+    std::size_t pending_bytes{std::size_t{8} * 1024 * 1024};
     /// An incomplete change is evicted after this many records, long after a submitter gave up.
     log_offset pending_span{4096};
 };
--- a/src/config/follow.hpp
+++ b/src/config/follow.hpp
@@ -94,7 +94,7 @@
     duration max_log_jitter{std::chrono::seconds{2}}; ///< spreads direct reads of the log
     std::size_t relays{2};
     std::size_t cache_records{4096};
-    std::size_t cache_bytes{1024 * 1024};
+    std::size_t cache_bytes{std::size_t{1024} * 1024};
 };
 
 class config_follower {
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -32,11 +32,11 @@
 
 struct node_limits {
     std::size_t ring_entries{4096};
-    std::size_t header_bytes{16 * 1024};
-    std::size_t body_bytes{1024 * 1024};
-    std::size_t prompt_bytes{512 * 1024};
-    std::size_t peer_frame_bytes{1024 * 1024};
-    std::size_t bill_buffer_bytes{32 * 1024 * 1024};
+    std::size_t header_bytes{std::size_t{16} * 1024};
+    std::size_t body_bytes{std::size_t{1024} * 1024};
+    std::size_t prompt_bytes{std::size_t{512} * 1024};
+    std::size_t peer_frame_bytes{std::size_t{1024} * 1024};
+    std::size_t bill_buffer_bytes{std::size_t{32} * 1024 * 1024};
 
     friend bool operator==(const node_limits&, const node_limits&) = default;
 };
