--- a/src/membership/vm_table.cpp
+++ b/src/membership/vm_table.cpp
@@ -142,7 +142,8 @@
         }
         const auto silence = now - record.last_advance;
         const bool unlisted = !record.listed && silence >= settings_.unlisted_removed_after;
-        if (silence >= settings_.removed_after || (unlisted && record.state == vm_state::suspect)) {
+        const bool silent = record.failure_domain == domain_ && silence >= settings_.removed_after;
+        if (silent || (unlisted && record.state == vm_state::suspect)) {
             changes.push_back(set_state(record, vm_state::removed));
         }
         else if (silence >= settings_.suspect_after && record.state == vm_state::alive) {
@@ -157,14 +158,6 @@
     records_.at(self_.vm).state = vm_state::left;
 }
 
-void vm_table::renew_incarnation(incarnation run)
-{
-    self_.run = run;
-    auto& own = records_.at(self_.vm);
-    own.process = self_;
-    own.sequence = 0;
-}
-
 std::vector<vm_gossip> vm_table::gossip() const
 {
     std::vector<vm_gossip> out;
--- a/src/membership/vm_table.hpp
+++ b/src/membership/vm_table.hpp
@@ -25,7 +25,8 @@
 // gossiped to, so one cut connection does not make a VM look dead. `left` and `removed` are final
 // for an incarnation. Removal is each VM's own conclusion and is not gossiped, since one VM with a
 // broken network would otherwise remove everyone; a VM answers a frame of a removed incarnation by
-// telling its sender, which then calls renew_incarnation().
+// telling its sender, which then goes on under a new one. VMs of other failure domains are not
+// removed for silence alone, since regions lose each other for an hour without any VM failing.
 
 namespace wagtailhitch {
 
@@ -93,8 +94,6 @@
     std::vector<vm_change> tick(time_point now);
     /// Announces the own graceful shutdown in later gossip.
     void leave();
-    /// Continues as a new process after others have removed the old incarnation.
-    void renew_incarnation(incarnation run);
 
     // Queries.
     /// The own failure domain's entries for a heartbeat.
--- a/src/node/bill_control.cpp
+++ b/src/node/bill_control.cpp
@@ -4,10 +4,10 @@
 
 bill_control::bill_control(core_state& state, bill_gate& gate) : state_{state}, gate_{gate} {}
 
-void bill_control::on_copy(const process_id& from, const bill_copy_message& message,
+void bill_control::on_copy(const process_id& from, const bill_copy_message& message, time_point now,
                            std::vector<output>& out)
 {
-    if (state_.bills.hold_copies(message.data)) {
+    if (state_.bills.hold_copies(message.data, now)) {
         state_.send(from.vm, peer_message_kind::bill_ack, bill_ack_message{message.id}, out);
     }
 }
@@ -16,13 +16,15 @@
                           std::vector<output>& out)
 {
     std::vector<bill_output> steps;
-    state_.bills.on_copy_ack(from.vm, message.id, steps);
+    state_.bills.on_ack(from, message.id, steps);
     carry_out(steps, out);
 }
 
-void bill_control::on_done(const process_id& from, const bill_done_message& message)
+void bill_control::on_done(const process_id& from, const bill_done_message& message,
+                           std::vector<output>& out)
 {
     state_.bills.drop_copies(from, message.sequences);
+    state_.send(from.vm, peer_message_kind::bill_ack, bill_ack_message{message.id}, out);
 }
 
 void bill_control::tick(time_point now, std::vector<output>& out)
@@ -42,15 +44,15 @@
             gate_.release(release->request, out);
         }
         else if (auto* copy = std::get_if<bill_copy_batch>(&step)) {
-            state_.send(copy->to, peer_message_kind::bill_copy,
+            state_.send(copy->to.vm, peer_message_kind::bill_copy,
                         bill_copy_message{copy->id, std::move(copy->data)}, out);
         }
         else if (auto* record = std::get_if<bill_append>(&step)) {
             append(*record, out);
         }
         else if (auto* done = std::get_if<bill_done>(&step)) {
-            state_.send(done->to, peer_message_kind::bill_done,
-                        bill_done_message{std::move(done->sequences)}, out);
+            state_.send(done->to.vm, peer_message_kind::bill_done,
+                        bill_done_message{done->id, std::move(done->sequences)}, out);
         }
     }
 }
--- a/src/node/bill_control.hpp
+++ b/src/node/bill_control.hpp
@@ -7,7 +7,7 @@
 
 // Carries bills from the buffer to peers and the log.
 //
-//   bills.on_copy(from, message, out);      // copies of another VM's bills
+//   bills.on_copy(from, message, now, out); // copies of another VM's bills
 //   bills.tick(now, out);
 
 namespace wagtailhitch {
@@ -16,10 +16,11 @@
 public:
     bill_control(core_state& state, bill_gate& gate);
 
-    void on_copy(const process_id& from, const bill_copy_message& message,
+    void on_copy(const process_id& from, const bill_copy_message& message, time_point now,
                  std::vector<output>& out);
     void on_ack(const process_id& from, const bill_ack_message& message, std::vector<output>& out);
-    void on_done(const process_id& from, const bill_done_message& message);
+    void on_done(const process_id& from, const bill_done_message& message,
+                 std::vector<output>& out);
     void tick(time_point now, std::vector<output>& out);
 
 private:
--- a/src/node/core_settings.hpp
+++ b/src/node/core_settings.hpp
@@ -38,8 +38,6 @@
     duration report_interval{500ms}; ///< of published_state
     std::uint64_t seed{0};
     wall_clock_source wall_ms;
-    /// A new incarnation, higher than all before; microseconds of the wall clock in production.
-    std::function<incarnation()> new_incarnation;
 };
 
 } // namespace wagtailhitch
--- a/src/node/membership_control.cpp
+++ b/src/node/membership_control.cpp
@@ -54,10 +54,10 @@
         return;
     }
     membership_changed_ = false;
-    std::vector<vm_id> domain_peers;
+    std::vector<process_id> domain_peers;
     for (const auto& member : state_.vms.domain_members()) {
         if (member.vm != state_.self().vm) {
-            domain_peers.push_back(member.vm);
+            domain_peers.push_back(member);
         }
     }
     state_.bills.set_peers(domain_peers);
@@ -96,13 +96,9 @@
     }
 }
 
-void membership_control::on_ended(const ended_message& message)
+bool membership_control::was_removed(const ended_message& message) const
 {
-    if (message.run != state_.self().run || state_.stopping) {
-        return;
-    }
-    state_.counters.count("incarnations_renewed_total").add();
-    state_.vms.renew_incarnation(state_.settings.new_incarnation());
+    return message.run == state_.self().run;
 }
 
 void membership_control::apply(const std::vector<upstream_change>& changes, time_point now)
--- a/src/node/membership_control.hpp
+++ b/src/node/membership_control.hpp
@@ -18,8 +18,9 @@
     void on_vm_list(const vm_list& list, time_point now);
     void on_heartbeat(const peer_frame& frame, const heartbeat_message& message, time_point now,
                       std::vector<output>& out);
-    /// Others have removed this process: it goes on under a new incarnation.
-    void on_ended(const ended_message& message);
+    /// True when the message concerns this incarnation: it must end, and the process goes on under
+    /// a new one.
+    [[nodiscard]] bool was_removed(const ended_message& message) const;
     void on_probe(const probe_result& result, time_point now);
     void on_cache_events(const cache_events& events);
     void on_configuration(time_point now);
--- a/src/node/messages.hpp
+++ b/src/node/messages.hpp
@@ -328,7 +328,10 @@
 };
 
 /// The last output of a graceful shutdown: nothing is in flight and everything is handed over.
-struct stopped {};
+struct stopped {
+    /// Peers had removed this incarnation: the process goes on under a new one.
+    bool restart{false};
+};
 
 using output = std::variant<answer_start, answer_chunk, answer_end, answer_whole, answer_error,
                             published_state, attempt_start, attempt_cancel, probe_upstream,
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -58,6 +58,7 @@
     time_point next_report;
     time_point stop_at;
     stop_phase phase{stop_phase::running};
+    bool restart_after_stop{false};
 
     void on(const caller_request& message, time_point now, std::vector<output>& out);
     void on(const caller_gone& event, time_point now, std::vector<output>& out);
@@ -82,6 +83,7 @@
                                                    time_point now) const;
     void on_peer(const peer_frame& frame, const peer_message& message, time_point now,
                  std::vector<output>& out);
+    void begin_stop(bool restart, time_point now);
     void advance_stop(time_point now, std::vector<output>& out);
     [[nodiscard]] bool drained() const;
 };
@@ -246,7 +248,9 @@
         membership.on_heartbeat(frame, *m, now, out);
     }
     else if (const auto* ended = std::get_if<ended_message>(&message)) {
-        membership.on_ended(*ended);
+        if (membership.was_removed(*ended)) {
+            begin_stop(true, now);
+        }
     }
     else if (const auto* request = std::get_if<log_request_message>(&message)) {
         if (request->stream == config_stream) {
@@ -266,13 +270,13 @@
         configuration.on_snapshot(from.vm, *snapshot, now, out);
     }
     else if (const auto* copy = std::get_if<bill_copy_message>(&message)) {
-        bills.on_copy(from, *copy, out);
+        bills.on_copy(from, *copy, now, out);
     }
     else if (const auto* ack = std::get_if<bill_ack_message>(&message)) {
         bills.on_ack(from, *ack, out);
     }
     else if (const auto* done = std::get_if<bill_done_message>(&message)) {
-        bills.on_done(from, *done);
+        bills.on_done(from, *done, out);
     }
     else if (const auto* claims = std::get_if<claim_submit_message>(&message)) {
         streams.on_claim_submit(*claims);
@@ -307,10 +311,17 @@
 
 void node_core::parts::on(const stop_requested& /*event*/, time_point now,
                           std::vector<output>& /*out*/)
+{
+    begin_stop(false, now);
+}
+
+void node_core::parts::begin_stop(bool restart, time_point now)
 {
     if (phase != stop_phase::running) {
+        restart_after_stop = restart_after_stop && restart;
         return;
     }
+    restart_after_stop = restart;
     phase = stop_phase::draining;
     state.stopping = true;
     stop_at = now + drain_grace;
@@ -346,7 +357,7 @@
         break;
     case stop_phase::leaving:
         if (now >= stop_at) {
-            out.emplace_back(stopped{});
+            out.emplace_back(stopped{restart_after_stop});
             phase = stop_phase::done;
         }
         break;
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -294,7 +294,7 @@
     case peer_message_kind::bill_ack:
         return bill_ack_message{j.at(0)};
     case peer_message_kind::bill_done:
-        return bill_done_message{j.at(0).get<std::vector<std::uint64_t>>()};
+        return bill_done_message{j.at(0), j.at(1).get<std::vector<std::uint64_t>>()};
     case peer_message_kind::claim_submit:
         return claim_submit_message{text_of(j.at(0))};
     case peer_message_kind::ticket_forward:
@@ -362,7 +362,7 @@
 
 json_ptr encode_peer_message(const bill_done_message& m)
 {
-    return make(json::array({json(m.sequences)}));
+    return make(json::array({json(m.id), json(m.sequences)}));
 }
 
 json_ptr encode_peer_message(const claim_submit_message& m)
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -102,6 +102,7 @@
 };
 
 struct bill_done_message {
+    std::uint64_t id{0};
     std::vector<std::uint64_t> sequences;
 };
 
