--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -64,6 +64,7 @@
     const server_hooks& hooks;
     server_faults faults;
     std::set<connection*> connections;
+    std::uint64_t swallowed{0}; ///< requests that were read and left unhandled
 
     void dispatch(const http_request& request, const exchange_ptr& out);
     void handle(const http_request& request, const exchange_ptr& out) const;
@@ -217,6 +218,7 @@
     auto out = std::make_shared<connection_exchange>(shared_from_this());
     const bool is_control = request.path == "/control";
     if (!is_control && (muted_ || server_.faults.silent)) {
+        ++server_.swallowed;
         mute();
         return;
     }
@@ -347,6 +349,7 @@
     out["fail_next"] = faults.fail_next;
     out["lose_replies"] = faults.lose_replies;
     out["slow_ms"] = faults.slow_ms;
+    out["swallowed"] = swallowed;
     return out;
 }
 
@@ -396,7 +399,7 @@
 int run_server(event_loop& loop, const listen_options& options, const server_hooks& hooks)
 {
     asio::io_context& context = loop.internals().context;
-    server_state server{loop, hooks, {}, {}};
+    server_state server{loop, hooks, {}, {}, 0};
     tcp::acceptor acceptor{context, tcp::endpoint{asio::ip::address_v4::loopback(), options.port}};
     const std::uint16_t port = acceptor.local_endpoint().port();
     if (!options.port_file.empty() && !write_port_file(options.port_file, port)) {
--- /dev/null
+++ b/tests/process/child_process.cpp
@@ -0,0 +1,88 @@
+#include "child_process.hpp"
+
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+namespace wagtailhitch::testing {
+
+scratch_directory::scratch_directory()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "wagtailhitch-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error{"A scratch directory could not be made."};
+    }
+    root_ = pattern;
+}
+
+scratch_directory::~scratch_directory()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(root_, ignored);
+}
+
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments)
+{
+    // Everything is allocated before the fork: the child only calls execv.
+    std::vector<std::string> words{program};
+    words.insert(words.end(), arguments.begin(), arguments.end());
+    std::vector<char*> argv;
+    argv.reserve(words.size() + 1);
+    for (std::string& it : words) {
+        argv.push_back(it.data());
+    }
+    argv.push_back(nullptr);
+    pid_ = ::fork();
+    if (pid_ < 0) {
+        throw std::runtime_error{"The program " + program + " could not be started."};
+    }
+    if (pid_ == 0) {
+        ::execv(argv[0], argv.data());
+        ::_exit(127);
+    }
+}
+
+child_process::~child_process()
+{
+    if (pid_ > 0) {
+        ::kill(pid_, SIGKILL);
+        wait();
+    }
+}
+
+void child_process::send_signal(int number) const
+{
+    if (pid_ > 0) {
+        ::kill(pid_, number);
+    }
+}
+
+int child_process::wait()
+{
+    int status = 0;
+    ::waitpid(pid_, &status, 0);
+    pid_ = -1;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+std::uint16_t wait_for_port(const std::string& port_file)
+{
+    using namespace std::chrono_literals;
+    const auto limit = std::chrono::steady_clock::now() + 20s;
+    while (std::chrono::steady_clock::now() < limit) {
+        std::ifstream file{port_file};
+        std::uint16_t port = 0;
+        if (file >> port) {
+            return port;
+        }
+        std::this_thread::sleep_for(5ms);
+    }
+    throw std::runtime_error{"No port appeared in " + port_file + " within 20 s."};
+}
+
+} // namespace wagtailhitch::testing
--- /dev/null
+++ b/tests/process/child_process.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+// A program started by a test, and a directory for its files.
+//
+//   scratch_directory files;
+//   child_process log{STANDIN_BINARY, {"log", "--port-file", files.path("log")}};
+//   std::uint16_t port = wait_for_port(files.path("log"));
+//   log.send_signal(SIGTERM);
+//   int code = log.wait();
+
+namespace wagtailhitch::testing {
+
+/// Removed with its contents at the end of its life.
+class scratch_directory {
+public:
+    scratch_directory();
+    ~scratch_directory();
+    scratch_directory(const scratch_directory&) = delete;
+    scratch_directory& operator=(const scratch_directory&) = delete;
+
+    [[nodiscard]] std::string path(const std::string& name) const
+    {
+        return (root_ / name).string();
+    }
+
+private:
+    std::filesystem::path root_;
+};
+
+/// Killed at the end of its life if it still runs.
+class child_process {
+public:
+    /// Throws std::runtime_error when the program cannot be started.
+    child_process(const std::string& program, const std::vector<std::string>& arguments);
+    ~child_process();
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    void send_signal(int number) const;
+    /// Returns the exit code, or minus the number of the signal that ended the process.
+    int wait();
+
+private:
+    int pid_{-1};
+};
+
+/// Waits until the program has written its port. Throws std::runtime_error after 20 s.
+std::uint16_t wait_for_port(const std::string& port_file);
+
+} // namespace wagtailhitch::testing
