--- a/standins/engine_answer.cpp
+++ b/standins/engine_answer.cpp
@@ -26,6 +26,29 @@
     return it == settings.confidence.end() ? default_confidence : it->second;
 }
 
+/// Content is a string or a list of text parts.
+std::string text_of(const json& content)
+{
+    if (content.is_string()) {
+        return content.get<std::string>();
+    }
+    std::string out;
+    for (const json& it : content) {
+        out += it.at("text").get<std::string>();
+    }
+    return out;
+}
+
+std::uint64_t token_limit(const json& body)
+{
+    for (const char* name : {"max_completion_tokens", "max_tokens"}) {
+        if (body.contains(name) && body.at(name).is_number_unsigned()) {
+            return body.at(name).get<std::uint64_t>();
+        }
+    }
+    return 0;
+}
+
 } // namespace
 
 std::string prompt_of(const json& body)
@@ -35,7 +58,7 @@
     }
     std::string out;
     for (const json& it : body.at("messages")) {
-        out += it.at("content").get<std::string>();
+        out += text_of(it.at("content"));
     }
     return out;
 }
@@ -52,7 +75,7 @@
     const std::uint64_t shortest = settings.minimum_tokens;
     const std::uint64_t longest = std::max<std::uint64_t>(settings.maximum_tokens, shortest);
     const std::uint64_t wanted = shortest + draw(longest - shortest + 1);
-    const std::uint64_t limit = body.value("max_tokens", std::uint64_t{0});
+    const std::uint64_t limit = token_limit(body);
     const std::uint64_t count = limit == 0 ? wanted : std::min(wanted, limit);
     out.tokens.push_back("[" + version + "] ");
     while (out.tokens.size() < count) {
