--- a/src/claim/claim_table.hpp
+++ b/src/claim/claim_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/names.hpp"
 #include "claim/claim_record.hpp"
 #include "claim/detail/claim_index.hpp"
 
@@ -48,6 +49,14 @@
 /// answered by claim_outbox::release(): the claim reached the log after its request was refused.
 enum class claim_event_kind { won, lost, outcome, freed };
 
+template<>
+inline constexpr auto enum_names<claim_event_kind> = name_table<claim_event_kind, 4>{{
+    {claim_event_kind::won, "won"},
+    {claim_event_kind::lost, "lost"},
+    {claim_event_kind::outcome, "outcome"},
+    {claim_event_kind::freed, "freed"},
+}};
+
 /// One effect of a record. For won and lost `request` is the claim's, else the claim owner's.
 struct claim_event {
     claim_event_kind kind{claim_event_kind::won};
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -36,7 +36,8 @@
                                                                    on_configuration(at);
                                                                }},
           streams{state,
-                  [this](time_point at, std::vector<output>& out) { services.on_claims(at, out); }}
+                  {[this](time_point at, std::vector<output>& out) { services.on_claims(at, out); },
+                   [this](const request_id& id) { return services.owns(id); }}}
     {
     }
 
--- a/src/node/stream_control.cpp
+++ b/src/node/stream_control.cpp
@@ -25,9 +25,8 @@
 
 } // namespace
 
-stream_control::stream_control(core_state& state,
-                               std::function<void(time_point, std::vector<output>&)> on_claims)
-    : state_{state}, on_claims_{std::move(on_claims)}, keepers_{make_keepers(state)},
+stream_control::stream_control(core_state& state, stream_hooks hooks)
+    : state_{state}, hooks_{std::move(hooks)}, keepers_{make_keepers(state)},
       writer_{{}, state.self().run}, allocator_{{}}
 {
 }
@@ -93,7 +92,7 @@
         state_.leases.start(*news.lost_before);
     }
     if (news.lost_before && claims) {
-        state_.claims.gap(*news.lost_before);
+        state_.claims.gap(*news.lost_before, state_.settings.wall_ms());
     }
     for (const auto& record : news.records) {
         if (leases) {
@@ -107,7 +106,7 @@
         }
     }
     if (claims) {
-        on_claims_(now, out);
+        hooks_.on_claims(now, out);
     }
 }
 
@@ -127,7 +126,7 @@
     }
     for (auto& [which, keeper] : keepers_) {
         if (keeper.duty() == decoded->duty) {
-            keeper.on_record(*decoded, accepted, now);
+            keeper.on_record(record.offset, *decoded, accepted, now);
         }
     }
 }
@@ -140,14 +139,17 @@
             .add();
         return;
     }
-    for (const auto& event : state_.claims.apply(record.offset, *batch)) {
-        const auto name = event.kind == claim_event_kind::won     ? "won"
-                          : event.kind == claim_event_kind::lost  ? "lost"
-                          : event.kind == claim_event_kind::freed ? "freed"
-                                                                  : "outcome";
-        state_.counters.count("claims_total", {{"event", name}}).add();
+    for (const auto& event :
+         state_.claims.apply(record.offset, *batch, state_.settings.wall_ms())) {
+        state_.counters.count("claims_total", {{"event", std::string{name_of(event.kind)}}}).add();
+        // A claim of a request that was refused meanwhile can still win; its key is freed.
+        const bool own =
+            event.request.vm == state_.self().vm && event.request.run == state_.self().run;
+        if (event.kind == claim_event_kind::won && own && !hooks_.wants_claim(event.request)) {
+            state_.claim_items.release(event.key, event.request, now);
+        }
     }
-    state_.claim_items.seen(*batch, now);
+    state_.claim_items.seen(*batch);
 }
 
 void stream_control::carry_out(const std::string& stream, std::vector<relay_output>& steps,
@@ -259,10 +261,11 @@
         }
     }
     const bool authority = keepers_.at(duty::claim_writer).authority(now).has_value();
-    for (auto& append : writer_.due(now, authority)) {
+    if (auto append = writer_.due(now, authority)) {
+        const auto batch = append->batch;
         state_.append(
-            claims_stream, {std::move(append.data)},
-            [this, batch = append.batch](const auto& result, time_point at, std::vector<output>&) {
+            claims_stream, {std::move(append->data)},
+            [this, batch](const auto& result, time_point at, std::vector<output>&) {
                 writer_.on_result(batch, result.has_value(), at);
             },
             out);
--- a/src/node/stream_control.hpp
+++ b/src/node/stream_control.hpp
@@ -30,11 +30,17 @@
     {duty::claim_writer, "claim-writer"},
 }};
 
+/// What the requests contribute to the folds.
+struct stream_hooks {
+    /// Runs after the claim table or its confirmation changed.
+    std::function<void(time_point, std::vector<output>&)> on_claims;
+    /// Whether a request of this process still waits for its claim.
+    std::function<bool(const request_id&)> wants_claim;
+};
+
 class stream_control {
 public:
-    /// `on_claims` runs after the claim table or its confirmation changed.
-    stream_control(core_state& state,
-                   std::function<void(time_point, std::vector<output>&)> on_claims);
+    stream_control(core_state& state, stream_hooks hooks);
 
     void on_log(const log_batch& batch, time_point now, std::vector<output>& out);
     void on_request(const vm_id& from, const log_request_message& message, time_point now,
@@ -68,7 +74,7 @@
     void share_limits(time_point now, std::vector<output>& out);
 
     core_state& state_;
-    std::function<void(time_point, std::vector<output>&)> on_claims_;
+    stream_hooks hooks_;
     std::map<duty, lease_keeper> keepers_;
     claim_writer writer_;
     vm_id last_writer_;
--- a/src/request/service_requests.cpp
+++ b/src/request/service_requests.cpp
@@ -244,7 +244,10 @@
         break;
     case claim_action_kind::refuse:
         if (action.withdraw) {
-            state_.claim_items.withdraw(request.claim->key(), request.facts.id, now);
+            state_.claim_items.withdraw(request.facts.id);
+        }
+        if (action.release) {
+            state_.claim_items.release(request.claim->key(), request.facts.id, now);
         }
         request.claim.reset();
         fail(it, action.reason, now, out);
@@ -438,7 +441,7 @@
         state_.claim_items.add(request.claim->failed(reason.run), now);
     }
     else if (request.claim && request.claim->abandon()) {
-        state_.claim_items.withdraw(request.claim->key(), request.facts.id, now);
+        state_.claim_items.withdraw(request.facts.id);
     }
     if (request.used_ticket) {
         state_.tickets.fail(request.used_ticket->sequence, reason.run);
@@ -486,7 +489,7 @@
         return;
     }
     if (request.claim && request.claim->abandon()) {
-        state_.claim_items.withdraw(request.claim->key(), request.facts.id, now);
+        state_.claim_items.withdraw(request.facts.id);
     }
     request.claim.reset();
     fail(it,
