Decide on limits, admission, retries, hedges and cascade steps

Cause: team limits, overload, failed attempts and cascades need decisions (design 3.10 to 3.12). One bad rating refuted a declared quality in the first draft; five are needed now.

--- a/src/cascade/cascade_policy.hpp
+++ b/src/cascade/cascade_policy.hpp
@@ -20,23 +20,27 @@
 namespace wagtailhitch {
 
 /// Why an answer is not taken as final.
-enum class escalation_signal { none, low_confidence, check_failed, cut_short };
+enum class escalation_signal { none, low_confidence, check_failed };
 
 template<>
-inline constexpr auto enum_names<escalation_signal> = name_table<escalation_signal, 4>{{
+inline constexpr auto enum_names<escalation_signal> = name_table<escalation_signal, 3>{{
     {escalation_signal::none, "none"},
     {escalation_signal::low_confidence, "low_confidence"},
     {escalation_signal::check_failed, "check_failed"},
-    {escalation_signal::cut_short, "cut_short"},
 }};
 
 struct cascade_settings {
     double confidence_threshold{0.5}; ///< an engine's confidence below this escalates
     double z{1.28};                   ///< one-sided 90% bounds
     double minimum_ratings{30};       ///< below this the declared quality decides
+    /// Ratings that may refute the declared quality before that. With fewer, a single bad rating
+    /// would.
+    double minimum_refuting{5};
     /// Share of requests for which a step that is neither shown to be sufficient nor insufficient
     /// is tried, so that its ratings go on.
     double exploration{0.02};
+    /// The same for steps shown or declared to be insufficient, so that an improved model is found.
+    double refuted_exploration{0.002};
     double deadline_use{0.9}; ///< part of the remaining time that the expected time may use
 };
 
--- /dev/null
+++ b/src/limits/admission_queue.cpp
@@ -0,0 +1,254 @@
+#include "limits/admission_queue.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+#include <utility>
+
+namespace wagtailhitch {
+
+namespace {
+
+// One answer far from its expectation must not close or open the queue by itself.
+constexpr double smallest_correction = 0.1;
+constexpr double largest_correction = 10;
+
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+duration from_seconds(double value)
+{
+    constexpr double longest = 1e6;
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(std::min(value, longest)));
+}
+
+} // namespace
+
+admission_queue::admission_queue(queue_settings settings) : settings_{settings} {}
+
+void admission_queue::set_weight(const team_id& team, double weight)
+{
+    weights_[team] = weight;
+}
+
+expected<void> admission_queue::offer(queue_entry entry, time_point now)
+{
+    const duration wait = expected_wait(entry.team, entry.kind);
+    const auto refuse = [&](error_code code, const char* detail, duration after) {
+        return tl::unexpected(error{
+            code, step::admit, entry.team.value, run_state::not_run, detail,
+            std::clamp(after, settings_.shortest_retry_after, settings_.longest_retry_after)});
+    };
+    const auto team_capacity =
+        static_cast<std::size_t>(std::max(1.0, settings_.capacity * settings_.team_capacity_share));
+    if (waiting_ >= settings_.capacity || waiting_of(entry.team) >= team_capacity) {
+        return refuse(error_code::queue_full, "The queue for the model's upstreams is full.", wait);
+    }
+    const double left = seconds(entry.deadline - now) * settings_.deadline_use;
+    const double late = seconds(wait + service_of(entry)) - left;
+    if (late > 0) {
+        return refuse(error_code::deadline_unreachable,
+                      "The expected wait and service time exceed the deadline.",
+                      from_seconds(late));
+    }
+    class_queue& queue = queue_of(entry.kind);
+    team_queue& team = queue.teams[entry.team];
+    tagged_entry item;
+    item.cost = seconds(service_of(entry));
+    item.start = std::max(queue.virtual_time, team.last_finish);
+    team.last_finish = item.start + item.cost / weight_of(entry.team);
+    team.queued_cost += item.cost;
+    queue.queued_cost += item.cost;
+    entry.offered_at = now;
+    item.entry = std::move(entry);
+    team.waiting.push_back(std::move(item));
+    ++queue.waiting;
+    ++waiting_;
+    return {};
+}
+
+std::optional<queue_entry> admission_queue::next(time_point now)
+{
+    if (dispatched_ >= settings_.concurrency || waiting_ == 0) {
+        return std::nullopt;
+    }
+    class_queue& brief = queue_of(request_class::short_request);
+    class_queue& lengthy = queue_of(request_class::long_request);
+    const bool swap = long_first();
+    auto entry = take(swap ? lengthy : brief, now);
+    if (!entry) {
+        entry = take(swap ? brief : lengthy, now);
+    }
+    if (entry) {
+        ++dispatched_;
+        dispatched_cost_ += seconds(stated_service(*entry));
+        ++turns_;
+    }
+    return entry;
+}
+
+std::vector<queue_entry> admission_queue::expire(time_point now)
+{
+    std::vector<queue_entry> expired;
+    for (class_queue& queue : classes_) {
+        for (auto& [id, team] : queue.teams) {
+            for (std::size_t i = team.waiting.size(); i-- > 0;) {
+                if (too_late(team.waiting[i], now)) {
+                    expired.push_back(std::move(team.waiting[i].entry));
+                    erase(queue, team, i);
+                }
+            }
+        }
+        std::erase_if(queue.teams, [&](const auto& item) {
+            return item.second.waiting.empty() && item.second.last_finish <= queue.virtual_time;
+        });
+    }
+    return expired;
+}
+
+bool admission_queue::remove(std::uint64_t token)
+{
+    for (class_queue& queue : classes_) {
+        for (auto& [id, team] : queue.teams) {
+            const auto it = std::ranges::find_if(
+                team.waiting, [&](const tagged_entry& item) { return item.entry.token == token; });
+            if (it != team.waiting.end()) {
+                erase(queue, team, static_cast<std::size_t>(it - team.waiting.begin()));
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+void admission_queue::finished(const queue_entry& entry, duration service)
+{
+    const duration expected = stated_service(entry);
+    dispatched_ -= dispatched_ > 0 ? 1 : 0;
+    dispatched_cost_ = dispatched_ == 0 ? 0 : dispatched_cost_ - seconds(expected);
+    double& correction = queue_of(entry.kind).correction;
+    const double ratio = seconds(service) / std::max(seconds(expected), 1e-3);
+    correction += (ratio - correction) * settings_.smoothing;
+    correction = std::clamp(correction, smallest_correction, largest_correction);
+}
+
+duration admission_queue::expected_wait(const team_id& team, request_class kind) const
+{
+    if (dispatched_ < settings_.concurrency && waiting_ == 0) {
+        return duration{0};
+    }
+    // The next place becomes free after a part of a running request's time.
+    const double running = dispatched_ > 0 ? dispatched_cost_ / dispatched_ : 0;
+    const double places = std::max(1U, settings_.concurrency);
+    return from_seconds((cost_ahead(team, kind) + running) / places);
+}
+
+duration admission_queue::service_of(const queue_entry& entry) const
+{
+    return from_seconds(seconds(stated_service(entry)) * queue_of(entry.kind).correction);
+}
+
+duration admission_queue::stated_service(const queue_entry& entry) const
+{
+    return entry.expected_service > duration{0} ? entry.expected_service
+                                                : settings_.assumed_service;
+}
+
+double admission_queue::weight_of(const team_id& team) const
+{
+    constexpr double smallest_weight = 1e-3;
+    const auto it = weights_.find(team);
+    return it == weights_.end() ? 1 : std::max(it->second, smallest_weight);
+}
+
+admission_queue::class_queue& admission_queue::queue_of(request_class kind)
+{
+    return classes_[static_cast<std::size_t>(kind)];
+}
+
+const admission_queue::class_queue& admission_queue::queue_of(request_class kind) const
+{
+    return classes_[static_cast<std::size_t>(kind)];
+}
+
+std::size_t admission_queue::waiting_of(const team_id& team) const
+{
+    std::size_t sum = 0;
+    for (const class_queue& queue : classes_) {
+        const auto it = queue.teams.find(team);
+        sum += it == queue.teams.end() ? 0 : it->second.waiting.size();
+    }
+    return sum;
+}
+
+// Seconds of service that are given before a request offered now: the team's own, and of each other
+// team what fair queueing gives it until the virtual time reaches the request's start.
+double admission_queue::cost_ahead(const team_id& team, request_class kind) const
+{
+    const class_queue& queue = queue_of(kind);
+    const auto own = queue.teams.find(team);
+    const double start = own == queue.teams.end()
+                             ? queue.virtual_time
+                             : std::max(queue.virtual_time, own->second.last_finish);
+    double ahead = 0;
+    for (const auto& [id, other] : queue.teams) {
+        const double turn = (start - queue.virtual_time) * weight_of(id);
+        ahead += id == team ? other.queued_cost : std::min(other.queued_cost, turn);
+    }
+    const double turns = settings_.long_turn;
+    if (kind == request_class::long_request) {
+        return ahead + queue_of(request_class::short_request).queued_cost;
+    }
+    const bool contended = queue_of(request_class::long_request).waiting > 0 && turns > 1;
+    return contended ? ahead * turns / (turns - 1) : ahead;
+}
+
+bool admission_queue::too_late(const tagged_entry& item, time_point now) const
+{
+    return now + service_of(item.entry) > item.entry.deadline;
+}
+
+bool admission_queue::long_first() const
+{
+    return settings_.long_turn > 0 && turns_ % settings_.long_turn == settings_.long_turn - 1;
+}
+
+// Requests that are too late stay for expire(), which returns them to the caller.
+std::optional<queue_entry> admission_queue::take(class_queue& queue, time_point now)
+{
+    team_queue* first = nullptr;
+    std::size_t position = 0;
+    for (auto& [id, team] : queue.teams) {
+        const auto it = std::ranges::find_if(
+            team.waiting, [&](const tagged_entry& item) { return !too_late(item, now); });
+        if (it == team.waiting.end()) {
+            continue;
+        }
+        if (!first || it->start < first->waiting[position].start) {
+            first = &team;
+            position = static_cast<std::size_t>(it - team.waiting.begin());
+        }
+    }
+    if (!first) {
+        return std::nullopt;
+    }
+    queue.virtual_time = std::max(queue.virtual_time, first->waiting[position].start);
+    queue_entry entry = std::move(first->waiting[position].entry);
+    erase(queue, *first, position);
+    return entry;
+}
+
+void admission_queue::erase(class_queue& queue, team_queue& team, std::size_t position)
+{
+    const double cost = team.waiting[position].cost;
+    team.waiting.erase(team.waiting.begin() + static_cast<std::ptrdiff_t>(position));
+    team.queued_cost = team.waiting.empty() ? 0 : team.queued_cost - cost;
+    --queue.waiting;
+    queue.queued_cost = queue.waiting == 0 ? 0 : queue.queued_cost - cost;
+    --waiting_;
+}
+
+} // namespace wagtailhitch
--- a/src/limits/admission_queue.hpp
+++ b/src/limits/admission_queue.hpp
@@ -15,7 +15,7 @@
 //   if (auto queued = queue.offer({token, team, kind, deadline, 900ms}, now); !queued) { ... }
 //   for (const auto& entry : queue.expire(now)) { refuse(entry); }
 //   while (auto entry = queue.next(now)) { dispatch(*entry); }
-//   queue.finished(elapsed, now);      // when a dispatched request ends
+//   queue.finished(entry, elapsed);    // when a dispatched request ends
 
 namespace wagtailhitch {
 
@@ -25,8 +25,10 @@
     double team_capacity_share{0.5}; ///< of `capacity` that one team may fill
     /// Every nth request is taken from the long class first, so that short ones cannot starve it.
     std::uint32_t long_turn{8};
-    duration assumed_service{2s}; ///< before any request has finished
+    duration assumed_service{2s}; ///< of requests that state no expected service time
     double smoothing{0.05};       ///< weight of a new observation of the service time
+    duration shortest_retry_after{100ms};
+    duration longest_retry_after{10s};
     /// Part of the remaining time that the expected wait and service may use; the rest covers the
     /// error of the estimate.
     double deadline_use{0.9};
@@ -37,7 +39,7 @@
     team_id team{};
     request_class kind{request_class::short_request};
     time_point deadline{};
-    duration expected_service{}; ///< 0: the queue's average
+    duration expected_service{}; ///< 0: `assumed_service` of the settings
     time_point offered_at{};     ///< set by offer()
 };
 
@@ -61,14 +63,14 @@
     /// Removes a waiting request whose caller is gone. False when it does not wait.
     bool remove(std::uint64_t token);
     /// A dispatched request ended after `service`. Call once for each entry from next().
-    void finished(duration service, time_point now);
+    void finished(const queue_entry& entry, duration service);
 
     [[nodiscard]] std::size_t waiting() const { return waiting_; }
     [[nodiscard]] std::uint32_t dispatched() const { return dispatched_; }
     /// Expected wait of a request of the class that is offered now.
     [[nodiscard]] duration expected_wait(const team_id& team, request_class kind) const;
-    /// Average service time.
-    [[nodiscard]] duration mean_service(request_class kind) const;
+    /// Expected service time of a request, corrected by what requests of its class took.
+    [[nodiscard]] duration service_of(const queue_entry& entry) const;
 
 private:
     static constexpr std::size_t class_count = 2;
@@ -88,23 +90,26 @@
         double virtual_time{0};
         double queued_cost{0};
         std::size_t waiting{0};
-        duration mean_service{};
+        double correction{1}; ///< actual over expected service time
     };
 
+    [[nodiscard]] duration stated_service(const queue_entry& entry) const;
     [[nodiscard]] double weight_of(const team_id& team) const;
-    [[nodiscard]] duration service_of(const queue_entry& entry) const;
     [[nodiscard]] class_queue& queue_of(request_class kind);
     [[nodiscard]] const class_queue& queue_of(request_class kind) const;
     [[nodiscard]] std::size_t waiting_of(const team_id& team) const;
-    [[nodiscard]] bool reachable(const queue_entry& entry, duration wait, time_point now) const;
-    std::optional<queue_entry> take(class_queue& queue);
-    void drop(class_queue& queue, team_queue& team, std::size_t position);
+    [[nodiscard]] double cost_ahead(const team_id& team, request_class kind) const;
+    [[nodiscard]] bool too_late(const tagged_entry& item, time_point now) const;
+    [[nodiscard]] bool long_first() const;
+    std::optional<queue_entry> take(class_queue& queue, time_point now);
+    void erase(class_queue& queue, team_queue& team, std::size_t position);
 
     queue_settings settings_;
     std::map<team_id, double> weights_;
     std::array<class_queue, class_count> classes_;
     std::size_t waiting_{0};
     std::uint32_t dispatched_{0};
+    double dispatched_cost_{0}; ///< stated service seconds of the dispatched requests
     std::uint32_t turns_{0};
 };
 
--- /dev/null
+++ b/src/limits/share_allocator.cpp
@@ -0,0 +1,199 @@
+#include "limits/share_allocator.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace wagtailhitch {
+
+namespace {
+
+constexpr std::array<double limit_amounts::*, 3> dimensions{
+    &limit_amounts::requests, &limit_amounts::tokens, &limit_amounts::money};
+
+duration stretched(duration term, double drift)
+{
+    return std::chrono::duration_cast<duration>(term * (1 + drift));
+}
+
+// One VM's part in the division of one limit.
+struct claim_on_limit {
+    double wanted{0};
+    double held{0}; ///< largest grant still in force
+    double given{0};
+};
+
+// Max-min fair: smaller demands are met in full, the rest is divided evenly. `total` may be less
+// than what is held; a new grant then stays below the old one, which runs out by itself.
+void divide_evenly(std::vector<claim_on_limit>& claims, double total)
+{
+    std::vector<claim_on_limit*> order;
+    order.reserve(claims.size());
+    for (auto& item : claims) {
+        order.push_back(&item);
+    }
+    std::ranges::sort(order, {}, &claim_on_limit::wanted);
+    double left = std::max(0.0, total);
+    std::size_t remaining = order.size();
+    for (claim_on_limit* item : order) {
+        item->given = std::min(item->wanted, left / static_cast<double>(remaining));
+        left -= item->given;
+        --remaining;
+    }
+}
+
+// A VM whose grant is reduced may not have received the new one, so what it holds stays counted.
+// Raises are cut to what is left beside that.
+void cut_raises(std::vector<claim_on_limit>& claims, double total)
+{
+    double held = 0;
+    double raises = 0;
+    for (const auto& item : claims) {
+        held += item.held;
+        raises += std::max(0.0, item.given - item.held);
+    }
+    const double left = std::max(0.0, total - held);
+    const double kept = raises > left ? left / raises : 1;
+    for (auto& item : claims) {
+        if (item.given > item.held) {
+            item.given = item.held + (item.given - item.held) * kept;
+        }
+    }
+}
+
+} // namespace
+
+share_allocator::share_allocator(allocator_settings settings) : settings_{settings} {}
+
+void share_allocator::start(time_point now)
+{
+    teams_.clear();
+    grants_from_ = now + stretched(settings_.term, settings_.clock_drift);
+}
+
+void share_allocator::configure(const std::map<team_id, team_spec>& teams, time_point now)
+{
+    for (auto& [id, team] : teams_) {
+        expire(team, now);
+        team.limit = {};
+    }
+    // A removed team is kept until its grants have run out, because it may be declared again.
+    std::erase_if(teams_, [&](const auto& item) {
+        return item.second.vms.empty() && !teams.contains(item.first);
+    });
+    for (const auto& [id, spec] : teams) {
+        teams_[id].limit = rates_of(spec.limits);
+    }
+}
+
+void share_allocator::report(const share_request& request, time_point now)
+{
+    const auto it = teams_.find(request.team);
+    if (it == teams_.end()) {
+        return;
+    }
+    vm_state& vm = it->second.vms[request.vm];
+    if (request.asked_at < vm.request.asked_at) {
+        return;
+    }
+    vm.request = request;
+    vm.reported_at = now;
+    vm.fresh = true;
+}
+
+std::vector<share_grant> share_allocator::allocate(time_point now)
+{
+    std::vector<share_grant> grants;
+    if (now < grants_from_) {
+        return grants;
+    }
+    for (auto& [id, team] : teams_) {
+        expire(team, now);
+        allocate_team(id, team, now, grants);
+    }
+    return grants;
+}
+
+limit_amounts share_allocator::outstanding(const team_id& team, time_point now) const
+{
+    const auto it = teams_.find(team);
+    if (it == teams_.end()) {
+        return {};
+    }
+    limit_amounts sum = floors(it->second);
+    for (const auto& [id, vm] : it->second.vms) {
+        const limit_amounts held = held_by(vm, now);
+        for (const auto part : dimensions) {
+            sum.*part += held.*part;
+        }
+    }
+    return sum;
+}
+
+limit_amounts share_allocator::held_by(const vm_state& vm, time_point now)
+{
+    limit_amounts most;
+    for (const granted& grant : vm.grants) {
+        for (const auto part : dimensions) {
+            most.*part = grant.until > now ? std::max(most.*part, grant.share.*part) : most.*part;
+        }
+    }
+    return most;
+}
+
+// VMs that see fewer VMs than there are take larger floors; the larger sum is kept free.
+limit_amounts share_allocator::floors(const team_state& team) const
+{
+    limit_amounts sum;
+    for (const auto part : dimensions) {
+        for (const auto& [id, vm] : team.vms) {
+            sum.*part += vm.request.floor.*part;
+        }
+        sum.*part = std::max(sum.*part, team.limit.*part * settings_.floor_fraction);
+    }
+    return sum;
+}
+
+void share_allocator::expire(team_state& team, time_point now) const
+{
+    for (auto& [id, vm] : team.vms) {
+        std::erase_if(vm.grants, [&](const granted& grant) { return grant.until <= now; });
+    }
+    std::erase_if(team.vms, [&](const auto& item) {
+        return item.second.grants.empty() &&
+               item.second.reported_at + settings_.demand_lifetime <= now;
+    });
+}
+
+void share_allocator::allocate_team(const team_id& id, team_state& team, time_point now,
+                                    std::vector<share_grant>& out) const
+{
+    const limit_amounts floor_sum = floors(team);
+    std::vector<limit_amounts> shares(team.vms.size());
+    for (const auto part : dimensions) {
+        std::vector<claim_on_limit> claims;
+        for (const auto& [name, vm] : team.vms) {
+            const bool current = vm.reported_at + settings_.demand_lifetime > now;
+            const double wanted =
+                vm.request.demand.*part * settings_.headroom - vm.request.floor.*part;
+            claims.push_back({current ? std::max(0.0, wanted) : 0, held_by(vm, now).*part, 0});
+        }
+        const double total = team.limit.*part - floor_sum.*part;
+        divide_evenly(claims, total);
+        cut_raises(claims, total);
+        for (std::size_t i = 0; i < claims.size(); ++i) {
+            shares[i].*part = claims[i].given;
+        }
+    }
+    std::size_t position = 0;
+    const time_point until = now + stretched(settings_.term, settings_.clock_drift);
+    for (auto& [name, vm] : team.vms) {
+        const limit_amounts& share = shares[position++];
+        if (std::exchange(vm.fresh, false)) {
+            vm.grants.push_back({share, until});
+            out.push_back({name, id, share, vm.request.asked_at, settings_.term});
+        }
+    }
+}
+
+} // namespace wagtailhitch
--- a/src/limits/share_allocator.hpp
+++ b/src/limits/share_allocator.hpp
@@ -2,8 +2,8 @@
 
 #include "limits/team_limiter.hpp"
 
+#include <array>
 #include <map>
-#include <set>
 #include <vector>
 
 // The holder's side of the limit shares.
@@ -59,7 +59,7 @@
     };
 
     static limit_amounts held_by(const vm_state& vm, time_point now);
-    [[nodiscard]] limit_amounts room(const team_state& team, time_point now) const;
+    [[nodiscard]] limit_amounts floors(const team_state& team) const;
     void expire(team_state& team, time_point now) const;
     void allocate_team(const team_id& id, team_state& team, time_point now,
                        std::vector<share_grant>& out) const;
--- /dev/null
+++ b/src/limits/team_limiter.cpp
@@ -0,0 +1,213 @@
+#include "limits/team_limiter.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace wagtailhitch {
+
+namespace {
+
+constexpr double seconds_per_minute = 60;
+constexpr double seconds_per_hour = 3600;
+
+// Demand below this is not reported: one request in a quarter of an hour.
+constexpr double least_demand = 1e-3;
+
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+limit_amounts sum(const limit_amounts& a, const limit_amounts& b)
+{
+    return {a.requests + b.requests, a.tokens + b.tokens, a.money + b.money};
+}
+
+// A share beyond the limit cannot come from a correct holder; it is cut off here as well.
+limit_amounts at_most(const limit_amounts& value, const limit_amounts& limit)
+{
+    return {std::min(value.requests, limit.requests), std::min(value.tokens, limit.tokens),
+            std::min(value.money, limit.money)};
+}
+
+error refusal(error_code code, const team_id& team, std::string detail, duration wait)
+{
+    return {code, step::admit, team.value, run_state::not_run, std::move(detail), wait};
+}
+
+} // namespace
+
+limit_amounts rates_of(const team_limits& limits)
+{
+    return {limits.requests_per_second, limits.tokens_per_minute / seconds_per_minute,
+            limits.spend_per_hour / seconds_per_hour};
+}
+
+team_limiter::team_limiter(limiter_settings settings) : settings_{std::move(settings)} {}
+
+void team_limiter::configure(const std::map<team_id, team_spec>& teams, std::uint32_t vm_count,
+                             time_point now)
+{
+    vm_count_ = std::max(1U, vm_count);
+    std::erase_if(teams_, [&](const auto& item) { return !teams.contains(item.first); });
+    for (const auto& [id, spec] : teams) {
+        const auto [it, added] = teams_.try_emplace(id);
+        it->second.limit = rates_of(spec.limits);
+        if (added) {
+            it->second.demand_at = now;
+            start_buckets(it->second, now);
+        }
+        refresh(it->second, now);
+    }
+}
+
+void team_limiter::grant(const share_grant& grant, time_point now)
+{
+    const auto it = teams_.find(grant.team);
+    const bool mine = grant.vm == settings_.vm;
+    // A grant for a question that has not been asked yet would be valid for too long.
+    const bool plausible = grant.asked_at <= now && now < grant.asked_at + grant.term;
+    if (it == teams_.end() || !mine || !plausible || grant.asked_at < it->second.share_asked_at) {
+        return;
+    }
+    refresh(it->second, now);
+    it->second.share = grant.share;
+    it->second.share_asked_at = grant.asked_at;
+    it->second.share_until = grant.asked_at + grant.term;
+    refresh(it->second, now);
+}
+
+expected<void> team_limiter::admit(const team_id& team, const limit_amounts& estimate,
+                                   time_point now)
+{
+    const auto it = teams_.find(team);
+    if (it == teams_.end()) {
+        return tl::unexpected(refusal(error_code::unknown_team, team,
+                                      "The team is not in the configuration in force.", {}));
+    }
+    team_state& state = it->second;
+    note_demand(state, estimate, now);
+    refresh(state, now);
+    const duration rate_wait =
+        std::max(wait_of(state.limit.requests, state.requests, estimate.requests, now),
+                 wait_of(state.limit.tokens, state.tokens, estimate.tokens, now));
+    if (rate_wait > duration{0}) {
+        return tl::unexpected(refusal(error_code::team_rate_limited, team,
+                                      "The team's request or token limit is used up.", rate_wait));
+    }
+    const duration spend_wait = wait_of(state.limit.money, state.money, estimate.money, now);
+    if (spend_wait > duration{0}) {
+        return tl::unexpected(refusal(error_code::team_spend_limited, team,
+                                      "The team's spending limit is used up.", spend_wait));
+    }
+    state.requests.take(estimate.requests, now);
+    state.tokens.take(estimate.tokens, now);
+    state.money.take(estimate.money, now);
+    return {};
+}
+
+void team_limiter::settle(const team_id& team, const limit_amounts& estimate,
+                          const limit_amounts& used, time_point now)
+{
+    const auto it = teams_.find(team);
+    if (it == teams_.end()) {
+        return;
+    }
+    refresh(it->second, now);
+    it->second.requests.take(used.requests - estimate.requests, now);
+    it->second.tokens.take(used.tokens - estimate.tokens, now);
+    it->second.money.take(used.money - estimate.money, now);
+}
+
+std::vector<share_request> team_limiter::share_requests(time_point now) const
+{
+    std::vector<share_request> requests;
+    for (const auto& [id, team] : teams_) {
+        const bool limited = team.limit != limit_amounts{};
+        const double kept =
+            std::exp(-seconds(now - team.demand_at) / seconds(settings_.demand_window));
+        const limit_amounts demand{team.demand.requests * kept, team.demand.tokens * kept,
+                                   team.demand.money * kept};
+        if (limited && demand.requests > least_demand) {
+            requests.push_back({settings_.vm, id, demand, floor_of(team), now});
+        }
+    }
+    return requests;
+}
+
+limit_amounts team_limiter::rates(const team_id& team, time_point now) const
+{
+    const auto it = teams_.find(team);
+    return it == teams_.end() ? limit_amounts{} : rates_of_state(it->second, now);
+}
+
+limit_amounts team_limiter::floor_of(const team_state& team) const
+{
+    const double part = settings_.floor_fraction / vm_count_;
+    return {team.limit.requests * part, team.limit.tokens * part, team.limit.money * part};
+}
+
+limit_amounts team_limiter::rates_of_state(const team_state& team, time_point now) const
+{
+    const limit_amounts floor = floor_of(team);
+    return now < team.share_until ? at_most(sum(floor, team.share), team.limit) : floor;
+}
+
+void team_limiter::refresh(team_state& team, time_point now) const
+{
+    // What was earned until the end of the term is earned at the granted rate.
+    if (team.share_until != time_point{} && team.share_until <= now) {
+        const time_point lapsed = std::exchange(team.share_until, time_point{});
+        set_rates(team, floor_of(team), lapsed);
+    }
+    const limit_amounts rates = rates_of_state(team, now);
+    if (rates != team.in_force) {
+        set_rates(team, rates, now);
+    }
+}
+
+void team_limiter::start_buckets(team_state& team, time_point now) const
+{
+    team.in_force = floor_of(team);
+    const limit_amounts capacity = capacity_of(team.in_force);
+    team.requests = {team.in_force.requests, capacity.requests, now};
+    team.tokens = {team.in_force.tokens, capacity.tokens, now};
+    team.money = {team.in_force.money, capacity.money, now};
+}
+
+void team_limiter::set_rates(team_state& team, const limit_amounts& rates, time_point now) const
+{
+    const limit_amounts capacity = capacity_of(rates);
+    team.in_force = rates;
+    team.requests.set_rate(rates.requests, capacity.requests, now);
+    team.tokens.set_rate(rates.tokens, capacity.tokens, now);
+    team.money.set_rate(rates.money, capacity.money, now);
+}
+
+limit_amounts team_limiter::capacity_of(const limit_amounts& rates) const
+{
+    const double burst = settings_.burst_seconds;
+    return {std::max(rates.requests * burst, settings_.minimum_burst_requests),
+            rates.tokens * burst, rates.money * burst};
+}
+
+// A request that is larger than the bucket waits for a full one and leaves a debt.
+duration team_limiter::wait_of(double limit, const token_bucket& bucket, double amount,
+                               time_point now)
+{
+    return limit > 0 ? bucket.wait_for(amount, now) : duration{0};
+}
+
+void team_limiter::note_demand(team_state& team, const limit_amounts& estimate,
+                               time_point now) const
+{
+    const double window = seconds(settings_.demand_window);
+    const double kept = std::exp(-seconds(now - team.demand_at) / window);
+    team.demand = {team.demand.requests * kept + estimate.requests / window,
+                   team.demand.tokens * kept + estimate.tokens / window,
+                   team.demand.money * kept + estimate.money / window};
+    team.demand_at = now;
+}
+
+} // namespace wagtailhitch
--- a/src/limits/team_limiter.hpp
+++ b/src/limits/team_limiter.hpp
@@ -98,6 +98,11 @@
     [[nodiscard]] limit_amounts floor_of(const team_state& team) const;
     [[nodiscard]] limit_amounts rates_of_state(const team_state& team, time_point now) const;
     void refresh(team_state& team, time_point now) const;
+    void start_buckets(team_state& team, time_point now) const;
+    void set_rates(team_state& team, const limit_amounts& rates, time_point now) const;
+    [[nodiscard]] limit_amounts capacity_of(const limit_amounts& rates) const;
+    static duration wait_of(double limit, const token_bucket& bucket, double amount,
+                            time_point now);
     void note_demand(team_state& team, const limit_amounts& estimate, time_point now) const;
 
     limiter_settings settings_;
--- /dev/null
+++ b/src/retry/hedge_policy.cpp
@@ -0,0 +1,89 @@
+#include "retry/hedge_policy.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace wagtailhitch {
+
+namespace {
+
+constexpr double first_bin_seconds = 1e-3;
+constexpr double bins_per_doubling = 8;
+
+// All bins are halved at this total, so that the quantile follows changes within some 1000
+// requests.
+constexpr double most_samples = 1000;
+
+} // namespace
+
+hedge_policy::hedge_policy(hedge_settings settings) : settings_{settings} {}
+
+void hedge_policy::count_request()
+{
+    credit_ = std::min(settings_.budget_capacity, credit_ + settings_.budget_share);
+}
+
+void hedge_policy::record_first_token(duration elapsed)
+{
+    bins_[bin_of(elapsed)] += 1;
+    total_ += 1;
+    if (total_ < most_samples) {
+        return;
+    }
+    total_ = 0;
+    for (double& bin : bins_) {
+        bin /= 2;
+        total_ += bin;
+    }
+}
+
+std::optional<time_point> hedge_policy::hedge_at(const hedge_facts& facts, time_point sent_at) const
+{
+    const auto late = late_after();
+    if (!late || !facts.idempotent || facts.stream_started || facts.already_hedged) {
+        return std::nullopt;
+    }
+    const time_point due = sent_at + std::max(*late, settings_.shortest_wait);
+    return due < facts.deadline ? std::optional{due} : std::nullopt;
+}
+
+bool hedge_policy::take()
+{
+    if (credit_ < 1) {
+        return false;
+    }
+    credit_ -= 1;
+    return true;
+}
+
+std::optional<duration> hedge_policy::late_after() const
+{
+    if (total_ < settings_.minimum_samples) {
+        return std::nullopt;
+    }
+    double below = 0;
+    for (std::size_t i = 0; i < bin_count; ++i) {
+        below += bins_[i];
+        if (below >= settings_.quantile * total_) {
+            return upper_edge(i);
+        }
+    }
+    return upper_edge(bin_count - 1);
+}
+
+std::size_t hedge_policy::bin_of(duration elapsed)
+{
+    const double seconds = std::chrono::duration<double>(elapsed).count();
+    const double position =
+        std::log2(std::max(seconds, first_bin_seconds) / first_bin_seconds) * bins_per_doubling;
+    return std::min(static_cast<std::size_t>(position), bin_count - 1);
+}
+
+duration hedge_policy::upper_edge(std::size_t bin)
+{
+    const double edge =
+        first_bin_seconds * std::exp2((static_cast<double>(bin) + 1) / bins_per_doubling);
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(edge));
+}
+
+} // namespace wagtailhitch
--- a/src/retry/retry_policy.hpp
+++ b/src/retry/retry_policy.hpp
@@ -8,7 +8,7 @@
 
 // Whether a failed attempt is followed by another one (design 3.12).
 //
-//   budget.count_request(now);
+//   budget.count_request();
 //   auto decision = policy.decide(failure, budget, now, generator);
 //   if (decision.action != retry_action::stop) { budget.spend(now); schedule(decision); }
 
@@ -47,8 +47,8 @@
     double budget_share{0.1};   ///< retries per request
     double budget_floor{1};     ///< retries per second in any case
     double budget_capacity{10}; ///< retries that may be saved up
-    /// Sends a non-idempotent request again when its attempt provably never began
-    /// (run_state::not_run at step dispatch). Off: such requests are sent once (design 3.5).
+    /// Sends a non-idempotent request again when no connection to the upstream was made, so that it
+    /// cannot have begun. Off: such requests are sent once in any case (design 3.5).
     bool restart_unsent{false};
 };
 
@@ -78,7 +78,7 @@
 public:
     retry_budget(const retry_settings& settings, time_point now);
 
-    void count_request(time_point now);
+    void count_request();
     [[nodiscard]] bool available(time_point now) const;
     void spend(time_point now);
 
--- /dev/null
+++ b/src/retry/retry_test.cpp
@@ -0,0 +1,188 @@
+#include "retry/hedge_policy.hpp"
+#include "retry/retry_policy.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <vector>
+
+namespace wagtailhitch {
+namespace {
+
+class retry_policy_test : public testing::Test {
+protected:
+    // A failure that is restarted unless a case changes it.
+    failed_attempt failure() const
+    {
+        failed_attempt result;
+        result.code = error_code::upstream_failed;
+        result.at = step::dispatch;
+        result.idempotent = true;
+        result.deadline = clock_.now() + 10s;
+        return result;
+    }
+    retry_decision decide(const failed_attempt& failure)
+    {
+        return policy_.decide(failure, budget_, clock_.now(), generator_);
+    }
+
+    manual_clock clock_;
+    std::mt19937_64 generator_{3};
+    retry_settings settings_;
+    retry_policy policy_{settings_};
+    retry_budget budget_{settings_, clock_.now()};
+};
+
+// Guards against repeating work that must not be repeated, and against giving up on work that can.
+TEST_F(retry_policy_test, decision_follows_the_kind_of_failure)
+{
+    using change = void (*)(failed_attempt&);
+    struct fault_case {
+        const char* name;
+        change apply;
+        retry_action action;
+        retry_refusal refusal;
+    };
+    const std::vector<fault_case> cases{
+        {"failed before any token", [](failed_attempt&) {}, retry_action::restart,
+         retry_refusal::none},
+        {"stream broken, generation held",
+         [](failed_attempt& f) { f.at = step::stream, f.resumable = f.tokens_sent = true; },
+         retry_action::resume, retry_refusal::none},
+        {"resume failed before",
+         [](failed_attempt& f) { f.resumable = f.tokens_sent = f.resume_failed = true; },
+         retry_action::restart, retry_refusal::none},
+        {"tokens sent without indexes",
+         [](failed_attempt& f) { f.tokens_sent = true, f.repeatable_answer = false; },
+         retry_action::stop, retry_refusal::already_sent},
+        {"non-idempotent, outcome unknown", [](failed_attempt& f) { f.idempotent = false; },
+         retry_action::stop, retry_refusal::may_have_run},
+        {"non-idempotent, resumable",
+         [](failed_attempt& f) { f.idempotent = false, f.resumable = true; }, retry_action::stop,
+         retry_refusal::may_have_run},
+        {"refused for its content",
+         [](failed_attempt& f) { f.code = error_code::malformed_request; }, retry_action::stop,
+         retry_refusal::not_retryable},
+        {"refused at admission", [](failed_attempt& f) { f.at = step::admit; }, retry_action::stop,
+         retry_refusal::not_retryable},
+        {"two retries made", [](failed_attempt& f) { f.retries = 2; }, retry_action::stop,
+         retry_refusal::attempts_used},
+        {"no time left", [](failed_attempt& f) { f.expected_time = 11s; }, retry_action::stop,
+         retry_refusal::deadline},
+    };
+    for (const auto& item : cases) {
+        failed_attempt fault = failure();
+        item.apply(fault);
+        const auto decision = decide(fault);
+        EXPECT_EQ(decision.action, item.action) << item.name;
+        EXPECT_EQ(decision.refusal, item.refusal) << item.name << ": " << name_of(decision.refusal);
+    }
+}
+
+// Guards against a retry storm: with every attempt failing, retries stay at 10% of requests or 1/s.
+TEST_F(retry_policy_test, budget_bounds_the_retries_of_a_failing_pool)
+{
+    int retries = 0;
+    for (int request = 0; request < 1000; ++request) {
+        clock_.advance(1ms);
+        budget_.count_request();
+        if (decide(failure()).action != retry_action::stop) {
+            budget_.spend(clock_.now());
+            ++retries;
+        }
+    }
+    EXPECT_GE(retries, 100);
+    EXPECT_LE(retries, 102);
+    clock_.advance(3s);
+    EXPECT_EQ(decide(failure()).action, retry_action::restart) << "the floor of 1/s is missing";
+}
+
+// Guards against retries in step with each other, and against waits beyond the bound.
+TEST_F(retry_policy_test, back_off_is_spread_below_a_doubling_bound)
+{
+    policy_ = retry_policy{{.maximum_retries = 10}};
+    for (std::uint32_t retries = 0; retries < 9; ++retries) {
+        failed_attempt fault = failure();
+        fault.retries = retries;
+        const duration bound = std::min<duration>(25ms * (1 << retries), 1s);
+        duration longest{0};
+        duration shortest = bound;
+        for (int i = 0; i < 200; ++i) {
+            const duration wait = decide(fault).wait;
+            longest = std::max(longest, wait);
+            shortest = std::min(shortest, wait);
+        }
+        EXPECT_LE(longest, bound);
+        EXPECT_GT(longest, bound / 2);
+        EXPECT_LT(shortest, bound / 4);
+    }
+}
+
+// Guards against running a non-idempotent request twice, whatever is known of the failure.
+RC_GTEST_FIXTURE_PROP(retry_policy_test, non_idempotent_request_is_never_sent_again, ())
+{
+    failed_attempt fault;
+    fault.code = static_cast<error_code>(*rc::gen::inRange(0, 38));
+    fault.at = static_cast<step>(*rc::gen::inRange(0, 14));
+    fault.run = static_cast<run_state>(*rc::gen::inRange(0, 3));
+    fault.resumable = *rc::gen::arbitrary<bool>();
+    fault.tokens_sent = *rc::gen::arbitrary<bool>();
+    fault.retries = *rc::gen::inRange(0U, 3U);
+    fault.deadline = clock_.now() + 10s;
+    RC_ASSERT(decide(fault).action == retry_action::stop);
+    policy_ = retry_policy{{.restart_unsent = true}};
+    if (decide(fault).action != retry_action::stop) {
+        RC_ASSERT(fault.run == run_state::not_run);
+        RC_ASSERT(fault.code == error_code::upstream_connect_failed);
+    }
+}
+
+class hedge_policy_test : public testing::Test {
+protected:
+    void record(int samples)
+    {
+        for (int i = 0; i < samples; ++i) {
+            policy_.record_first_token(i % 10 == 0 ? 400ms : 100ms);
+        }
+    }
+
+    manual_clock clock_;
+    hedge_policy policy_{{}};
+};
+
+// Guards against hedges of requests that would run twice, or whose answer has begun.
+TEST_F(hedge_policy_test, only_late_idempotent_requests_without_an_answer_are_hedged)
+{
+    const time_point deadline = clock_.now() + 10s;
+    EXPECT_FALSE(policy_.hedge_at({.idempotent = true, .deadline = deadline}, clock_.now()))
+        << "hedged without statistics";
+    record(200);
+    const auto at = policy_.hedge_at({.idempotent = true, .deadline = deadline}, clock_.now());
+    ASSERT_TRUE(at.has_value());
+    EXPECT_GE(*at - clock_.now(), 400ms);
+    EXPECT_LE(*at - clock_.now(), 440ms);
+    const std::vector<hedge_facts> refused{
+        {.idempotent = false, .deadline = deadline},
+        {.idempotent = true, .stream_started = true, .deadline = deadline},
+        {.idempotent = true, .already_hedged = true, .deadline = deadline},
+        {.idempotent = true, .deadline = clock_.now() + 300ms},
+    };
+    for (const auto& facts : refused) {
+        EXPECT_FALSE(policy_.hedge_at(facts, clock_.now()));
+    }
+}
+
+// Guards against hedges doubling the load of a pool that became slow.
+TEST_F(hedge_policy_test, hedges_stay_within_their_budget)
+{
+    int taken = 0;
+    for (int i = 0; i < 1000; ++i) {
+        policy_.count_request();
+        taken += policy_.take() ? 1 : 0;
+    }
+    EXPECT_GE(taken, 49);
+    EXPECT_LE(taken, 50);
+}
+
+} // namespace
+} // namespace wagtailhitch
