Add the peer transport over nghttp2

Both directions of a pair share one connection: the bodies of one POST to /v1/frames and of its response carry length-prefixed MessagePack frames, because an HTTP/2 server cannot open requests of its own. Adds the output identity_changed, so that frames follow a new incarnation.

--- /dev/null
+++ b/src/net/peer_connection.hpp
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "net/endpoint.hpp"
+#include "net/http2_channel.hpp"
+#include "net/peer_codec.hpp"
+#include "net/peer_transport.hpp"
+
+#include <memory>
+#include <string>
+
+// One authenticated connection to another VM, opened by either side.
+//
+// The owner calls sweep() regularly; the connection reports through peer_host.
+
+namespace wagtailhitch::detail {
+
+class peer_connection;
+using peer_connection_ptr = std::shared_ptr<peer_connection>;
+
+/// What a connection needs from its owner. All calls are made on the peers thread.
+class peer_host {
+public:
+    peer_host() = default;
+    peer_host(const peer_host&) = delete;
+    peer_host& operator=(const peer_host&) = delete;
+    virtual ~peer_host() = default;
+
+    [[nodiscard]] virtual const peer_transport_settings& settings() const = 0;
+    [[nodiscard]] virtual input_sender& sender() = 0;
+    virtual void authenticated(const peer_connection_ptr& connection) = 0;
+    virtual void received(const peer_connection_ptr& connection, peer_frame frame) = 0;
+    virtual void count_malformed() = 0;
+    /// The other side did not authenticate itself.
+    virtual void count_rejected() = 0;
+    virtual void closed(const peer_connection_ptr& connection, const error& reason) = 0;
+};
+
+class peer_connection : public std::enable_shared_from_this<peer_connection> {
+public:
+    peer_connection(peer_host& host, tcp_socket socket, peer_role role,
+                    std::optional<vm_id> expected_vm);
+
+    /// Connects, for clients; `address` is "IP:port".
+    void connect(const std::string& address);
+    /// Begins on a socket that was accepted.
+    void begin();
+    /// False when the queue is full.
+    [[nodiscard]] bool send(std::string frame);
+    /// Pings, and closes a connection whose deadline has passed.
+    void sweep(time_point now);
+    void close(error_code code, const std::string& why);
+    /// Sends nothing more; closes after `wait`, when the other side has moved on as well.
+    void retire(time_point at) { retire_at_ = at; }
+    [[nodiscard]] bool retiring() const { return retire_at_ != time_point{}; }
+    /// Closes without reporting; the owner is going away.
+    void abandon();
+
+    [[nodiscard]] peer_role role() const { return role_; }
+    [[nodiscard]] bool ready() const { return handshake_.done() && !closed_; }
+    /// True when the other side was heard within the time in which it answers a ping.
+    [[nodiscard]] bool fresh(time_point now) const;
+    /// True when no frame went either way for so long that its end is no loss.
+    [[nodiscard]] bool unused(time_point now) const;
+    [[nodiscard]] const peer_identity& peer() const { return handshake_.peer(); }
+    [[nodiscard]] const std::optional<vm_id>& expected() const { return expected_; }
+
+private:
+    using boost_error = boost::system::error_code;
+
+    void read();
+    void on_read(boost_error ec, std::size_t n);
+    bool take_bytes(std::string_view bytes);
+    void reject(const std::string& why);
+    bool take_frame(std::string_view content);
+    bool take_handshake(std::string_view content);
+    void write();
+    void on_written(boost_error ec);
+
+    peer_host& host_;
+    tcp_socket socket_;
+    peer_role role_;
+    std::optional<vm_id> expected_;
+    peer_handshake handshake_;
+    http2_channel channel_;
+    frame_splitter splitter_;
+    std::string input_;
+    std::string output_;
+    bool writing_{false};
+    bool feeding_{false};
+    bool closed_{false};
+    error rejection_;
+    time_point deadline_; ///< of the handshake
+    time_point heard_at_; ///< last bytes from the other side
+    time_point pinged_at_;
+    time_point used_at_; ///< last frame in either direction
+    time_point retire_at_{};
+};
+
+} // namespace wagtailhitch::detail
--- a/src/net/peer_transport.hpp
+++ b/src/net/peer_transport.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 // Frames between VMs over HTTP/2: one connection for each pair in use, authenticated in both
 // directions with the cluster key.
@@ -30,7 +31,8 @@
     std::size_t queue_limit{256};             ///< frames that wait for one peer
     std::size_t queue_bytes{8 * 1024 * 1024}; ///< bytes that wait for one peer
     std::size_t connection_limit{1024};
-    duration connect_timeout{1s}; ///< until both sides are authenticated
+    std::vector<std::string> kinds; ///< frames of other kinds are dropped; empty: all are accepted
+    duration connect_timeout{1s};   ///< until both sides are authenticated
     duration ping_interval{1s};
     duration ping_timeout{3s}; ///< without an answer to a ping the connection is dead
     duration reconnect_pause{200ms};
@@ -51,6 +53,8 @@
     [[nodiscard]] std::string address() const;
 
     void handle(peer_send&& message);
+    /// Frames and connections from now on carry the new incarnation.
+    void handle(identity_changed&& message);
 
 private:
     struct state;
--- a/src/node/messages.hpp
+++ b/src/node/messages.hpp
@@ -327,14 +327,20 @@
     json_ptr body;
 };
 
+/// The process goes on under a new incarnation, because its old one was removed.
+struct identity_changed {
+    process_id self;
+};
+
 /// The last output of a graceful shutdown: nothing is in flight and everything is handed over.
 struct stopped {
     /// Peers had removed this incarnation: the process goes on under a new one.
     bool restart{false};
 };
 
-using output = std::variant<answer_start, answer_chunk, answer_end, answer_whole, answer_error,
-                            published_state, attempt_start, attempt_cancel, probe_upstream,
-                            upstream_order, log_append, log_follow, peer_send, stopped>;
+using output =
+    std::variant<answer_start, answer_chunk, answer_end, answer_whole, answer_error,
+                 published_state, attempt_start, attempt_cancel, probe_upstream, upstream_order,
+                 log_append, log_follow, peer_send, identity_changed, stopped>;
 
 } // namespace wagtailhitch
--- a/src/node/runtime/output_router.hpp
+++ b/src/node/runtime/output_router.hpp
@@ -69,6 +69,7 @@
     void take(log_append&& message);
     void take(log_follow&& message);
     void take(peer_send&& message);
+    void take(identity_changed&& message);
     void take(stopped&& message);
 
     rings rings_;
