--- /dev/null
+++ b/src/net/net_test_support.hpp
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "base/metrics.hpp"
+#include "net/endpoint.hpp"
+#include "net/input_sender.hpp"
+#include "node/messages.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+// Support for tests of src/net: scripted TCP peers on ports chosen by the kernel, all on the test's
+// own io_context, which is pumped until a condition holds.
+
+namespace wagtailhitch::net_testing {
+
+namespace asio = boost::asio;
+using detail::tcp_socket;
+
+/// One TCP connection whose bytes the test reads and writes as it likes.
+class scripted_connection : public std::enable_shared_from_this<scripted_connection> {
+public:
+    explicit scripted_connection(tcp_socket socket) : socket_{std::move(socket)} {}
+
+    void read()
+    {
+        socket_.async_read_some(
+            asio::buffer(buffer_),
+            [self = shared_from_this()](boost::system::error_code ec, std::size_t n) {
+                if (ec) {
+                    self->closed = true;
+                    return;
+                }
+                self->received.append(self->buffer_.data(), n);
+                if (!self->paused) {
+                    self->read();
+                }
+            });
+    }
+
+    void write(const std::string& text)
+    {
+        boost::system::error_code ignored;
+        asio::write(socket_, asio::buffer(text), ignored);
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+    }
+
+    tcp_socket& socket() { return socket_; }
+
+    std::string received;
+    bool closed{false};
+    bool paused{false};
+
+private:
+    tcp_socket socket_;
+    std::array<char, 4096> buffer_{};
+};
+
+using scripted_connection_ptr = std::shared_ptr<scripted_connection>;
+
+/// Listens on loopback and keeps every connection it accepts.
+class scripted_listener {
+public:
+    explicit scripted_listener(asio::io_context& io) : acceptor_{io.get_executor()}
+    {
+        EXPECT_TRUE(detail::listen_on(acceptor_, "127.0.0.1:0").has_value());
+        address = detail::to_string(acceptor_.local_endpoint());
+        accept();
+    }
+
+    std::string address;
+    std::vector<scripted_connection_ptr> connections;
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept([this](boost::system::error_code ec, tcp_socket socket) {
+            if (ec) {
+                return;
+            }
+            connections.push_back(std::make_shared<scripted_connection>(std::move(socket)));
+            connections.back()->read();
+            accept();
+        });
+    }
+
+    detail::tcp_acceptor acceptor_;
+};
+
+/// An address on loopback that nobody listens on.
+inline std::string refused_address()
+{
+    asio::io_context io;
+    detail::tcp_acceptor acceptor{io.get_executor()};
+    EXPECT_TRUE(detail::listen_on(acceptor, "127.0.0.1:0").has_value());
+    return detail::to_string(acceptor.local_endpoint());
+}
+
+inline scripted_connection_ptr connect_to(asio::io_context& io, const std::string& address)
+{
+    tcp_socket socket{io.get_executor()};
+    socket.connect(*detail::parse_endpoint(address));
+    auto out = std::make_shared<scripted_connection>(std::move(socket));
+    out->read();
+    return out;
+}
+
+inline std::size_t count_of(const std::string& text, const std::string& part)
+{
+    std::size_t out = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + part.size())) {
+        ++out;
+    }
+    return out;
+}
+
+class net_fixture : public testing::Test {
+protected:
+    /// Deadlines of the tests that expect one to pass, and of those that expect none to.
+    static constexpr std::chrono::milliseconds short_time{40};
+    static constexpr std::chrono::seconds long_time{60};
+
+    input_sink sink()
+    {
+        return [this](input& message) {
+            if (ring_full_) {
+                return false;
+            }
+            inputs_.push_back(std::move(message));
+            return true;
+        };
+    }
+
+    /// Runs the loop until `done`. The bound only ends a test that has failed already.
+    template<typename Done> [[nodiscard]] bool pump_until(Done done)
+    {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{20};
+        while (!done() && std::chrono::steady_clock::now() < until) {
+            io_.restart();
+            io_.run_one_for(std::chrono::milliseconds{20});
+        }
+        return done();
+    }
+
+    template<typename Message> [[nodiscard]] std::vector<Message> inputs_of() const
+    {
+        std::vector<Message> out;
+        for (const input& it : inputs_) {
+            if (const auto* message = std::get_if<Message>(&it)) {
+                out.push_back(*message);
+            }
+        }
+        return out;
+    }
+
+    template<typename Message> [[nodiscard]] bool pump_until_input()
+    {
+        return pump_until([this] { return !inputs_of<Message>().empty(); });
+    }
+
+    asio::io_context io_;
+    metrics metrics_;
+    std::vector<input> inputs_;
+    bool ring_full_{false};
+};
+
+} // namespace wagtailhitch::net_testing
