--- a/src/config/change.hpp
+++ b/src/config/change.hpp
@@ -62,6 +62,11 @@
     friend bool operator==(const config_part&, const config_part&) = default;
 };
 
+/// Splits the joined data of a change or snapshot; `name` tells parts of different ones apart.
+/// Errors: config_invalid when more than config_parts_limit parts are needed.
+expected<std::vector<std::string>> encode_parts(config_part::part_kind kind,
+                                                const std::string& name, std::string_view joined);
+
 /// Records for the stream, each at most config_record_bytes. Errors: config_invalid when more than
 /// config_parts_limit parts are needed.
 expected<std::vector<std::string>> encode_change(const config_change& change);
--- a/src/config/fold.hpp
+++ b/src/config/fold.hpp
@@ -124,15 +124,14 @@
     std::vector<pending_change> pending;  ///< by first offset
 };
 
-/// JSON for peers and records. Errors: config_invalid.
-nlohmann::json to_json(const config_snapshot& snapshot);
-expected<config_snapshot> snapshot_from_json(const nlohmann::json& json);
-
-/// Records for the stream `config`, authenticated with the cluster key. Errors: config_invalid when
-/// the snapshot needs more than config_parts_limit parts.
+/// Records for the stream `config` and for peers, authenticated with the cluster key. Errors:
+/// config_invalid when the snapshot needs more than config_parts_limit parts.
 expected<std::vector<std::string>> encode_snapshot(const config_snapshot& snapshot,
                                                    std::string_view cluster_key);
 
+/// The snapshot from the joined data of its parts. Errors: config_invalid, signature_invalid.
+expected<config_snapshot> decode_snapshot(std::string_view joined, std::string_view cluster_key);
+
 struct config_fold_settings {
     std::map<std::string, std::string> operator_keys; ///< name -> raw public key
     std::string cluster_key;                          ///< authenticates snapshot records
@@ -157,10 +156,15 @@
     /// to look.
     bool note_oldest(log_offset oldest);
 
-    /// Takes over a snapshot from a peer or a record. Refused (false) when its revision is lower
-    /// than the current one, it contains no more records, or records after it are lost.
+    /// Takes over a snapshot. Refused (false) when its revision is lower than the current one, it
+    /// contains no more records, or records after it are lost. With an equal revision only the
+    /// offset moves on.
     bool adopt(const config_snapshot& snapshot);
 
+    /// One record of encode_snapshot() that came from a peer instead of the log. Returns
+    /// snapshot_adopted or record_ignored (with offset 0), or nothing while parts are missing.
+    std::optional<config_output> offer_snapshot_part(std::string_view record);
+
     /// Never empty; the empty document at revision 0.
     [[nodiscard]] const std::shared_ptr<const document>& current() const { return doc_; }
     [[nodiscard]] wagtailhitch::revision current_revision() const { return revision_; }
@@ -183,15 +187,16 @@
 
 private:
     using part_key = std::pair<std::string, std::string>; // name, content digest
+    using part_map = std::map<part_key, pending_change>;
 
     std::vector<config_output> fold_change_part(log_offset offset, config_part part);
-    std::vector<config_output> fold_snapshot_part(log_offset offset, config_part part);
-    config_output evaluate(log_offset offset, const pending_change& change);
-    config_output reject(log_offset offset, const std::string& submission, reject_reason reason,
-                         std::string detail, const std::string& author);
-    config_output accept(log_offset offset, const config_change& change, document result);
+    std::optional<config_output> fold_snapshot_part(log_offset offset, config_part part);
+    config_output evaluate(log_offset offset, const pending_change& complete);
+    config_output evaluate_signed(log_offset offset, const config_change& change);
+    config_output judge(change_verdict verdict, bool keep);
+    void put_in_force(const change_verdict& verdict, document result, nlohmann::json canonical);
     void evict(log_offset offset, std::vector<config_output>& out);
-    void record_verdict(const change_verdict& verdict);
+    void remember(const change_verdict& verdict);
 
     config_fold_settings settings_;
     std::set<std::string> authors_; // hexadecimal public keys
@@ -204,9 +209,9 @@
     log_offset folded_{0};
     log_offset oldest_{0};
     bool seeking_{false};
-    std::map<part_key, pending_change> pending_;
+    part_map pending_;
     std::size_t pending_bytes_{0};
-    std::map<part_key, pending_change> snapshot_parts_;
+    part_map snapshot_parts_;
     std::deque<change_verdict> verdicts_;
 };
 
