--- a/src/node/configuration_control.cpp
+++ b/src/node/configuration_control.cpp
@@ -49,8 +49,22 @@
 void configuration_control::on_snapshot(const vm_id& from, const snapshot_message& message,
                                         time_point now, std::vector<output>& out)
 {
+    std::string joined;
+    for (const auto& record : message.records) {
+        const auto part = decode_part(record);
+        if (!part) {
+            state_.counters.count("peer_frames_malformed_total").add();
+            return;
+        }
+        joined += part->data;
+    }
+    const auto snapshot = decode_snapshot(joined, state_.settings.cluster_key);
+    if (!snapshot) {
+        state_.counters.count("peer_frames_malformed_total").add();
+        return;
+    }
     config_follower::outputs steps;
-    state_.configuration.on_snapshot(from, message.snapshot, now, steps);
+    state_.configuration.on_snapshot(from, *snapshot, now, steps);
     carry_out(steps, now, out);
 }
 
@@ -93,8 +107,13 @@
                                        log_records_message{stream, std::move(s.message)}, out);
                        },
                        [&](send_snapshot& s) {
+                           auto records = encode_snapshot(s.snapshot, state_.settings.cluster_key);
+                           if (!records) {
+                               state_.counters.count("snapshots_too_large_total").add();
+                               return;
+                           }
                            state_.send(s.peer, peer_message_kind::snapshot,
-                                       snapshot_message{std::move(s.snapshot), s.mark}, out);
+                                       snapshot_message{std::move(*records), s.mark}, out);
                        },
                        [&](fold_event& s) { count(s.event); },
                    },
--- a/src/node/node_core_test.cpp
+++ b/src/node/node_core_test.cpp
@@ -41,7 +41,7 @@
     for (const std::string vm : {"a1", "a2", "a3", "b1", "b2"}) {
         EXPECT_TRUE(net_.state(vm).ready)
             << vm << " is not ready: " << net_.state(vm).not_ready_reason;
-        EXPECT_EQ((*net_.state(vm).in_force)["revision"], 1) << "on " << vm;
+        EXPECT_EQ((*net_.state(vm).in_force)["revision"], net_.submitted_revision()) << "on " << vm;
     }
 }
 
@@ -320,7 +320,7 @@
     net_.restart("a1");
     net_.run_for(20s);
     EXPECT_TRUE(net_.state("a1").ready) << net_.state("a1").not_ready_reason;
-    EXPECT_EQ((*net_.state("a1").in_force)["revision"], 1);
+    EXPECT_EQ((*net_.state("a1").in_force)["revision"], net_.submitted_revision());
 }
 
 // Guards against a change that does not reach the domain when its reader of the log dies.
@@ -333,7 +333,7 @@
     net_.submit(doc);
     net_.run_for(9s);
     for (const std::string vm : {"a2", "a3", "b2"}) {
-        EXPECT_EQ((*net_.state(vm).in_force)["revision"], 2) << "on " << vm;
+        EXPECT_EQ((*net_.state(vm).in_force)["revision"], net_.submitted_revision()) << "on " << vm;
     }
 }
 
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -262,15 +262,6 @@
     return out;
 }
 
-expected<snapshot_message> decode_snapshot(const json& j)
-{
-    auto snapshot = snapshot_from_json(j.at(0));
-    if (!snapshot) {
-        return tl::unexpected(snapshot.error());
-    }
-    return snapshot_message{std::move(*snapshot), optional_u64(j.at(1))};
-}
-
 expected<peer_message> decode_body(peer_message_kind kind, const json& j)
 {
     switch (kind) {
@@ -282,13 +273,8 @@
         return log_request_message{j.at(0), {j.at(1), j.at(2), j.at(3)}};
     case peer_message_kind::log_records:
         return decode_records(j);
-    case peer_message_kind::snapshot: {
-        auto decoded = decode_snapshot(j);
-        if (!decoded) {
-            return tl::unexpected(decoded.error());
-        }
-        return peer_message{std::move(*decoded)};
-    }
+    case peer_message_kind::snapshot:
+        return snapshot_message{list_of<std::string>(j.at(0), text_of), optional_u64(j.at(1))};
     case peer_message_kind::bill_copy:
         return bill_copy_message{j.at(0), text_of(j.at(1))};
     case peer_message_kind::bill_ack:
@@ -347,7 +333,7 @@
 
 json_ptr encode_peer_message(const snapshot_message& m)
 {
-    return make(json::array({to_json(m.snapshot), optional_number(m.mark)}));
+    return make(json::array({list(m.records, binary), optional_number(m.mark)}));
 }
 
 json_ptr encode_peer_message(const bill_copy_message& m)
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -87,8 +87,9 @@
     records_message records;
 };
 
+/// The whole configuration state, as the records of encode_snapshot().
 struct snapshot_message {
-    config_snapshot snapshot;
+    std::vector<std::string> records;
     std::optional<std::uint64_t> mark;
 };
 
--- a/src/node/test_deployment.cpp
+++ b/src/node/test_deployment.cpp
@@ -385,6 +385,8 @@
     later(peer_delay, out.to.value, frame);
 }
 
+void test_deployment::on(const std::string& /*vm*/, const identity_changed& /*out*/) {}
+
 void test_deployment::on(const std::string& vm, const stopped& /*out*/)
 {
     nodes_.at(vm).stopped = true;
--- a/src/node/test_deployment.hpp
+++ b/src/node/test_deployment.hpp
@@ -80,6 +80,7 @@
     }
     [[nodiscard]] std::uint64_t counter_of(const std::string& vm, const std::string& name,
                                            const metric_labels& labels = {});
+    [[nodiscard]] revision submitted_revision() const { return revision_; }
     [[nodiscard]] time_point now() const { return clock_.now(); }
     [[nodiscard]] std::size_t peer_bytes(const std::string& vm) const
     {
@@ -135,6 +136,7 @@
     void on(const std::string& vm, const log_append& out);
     void on(const std::string& vm, const log_follow& out);
     void on(const std::string& vm, const peer_send& out);
+    void on(const std::string& vm, const identity_changed& out);
     void on(const std::string& vm, const stopped& out);
 
     manual_clock clock_;
--- a/src/request/chat_requests.cpp
+++ b/src/request/chat_requests.cpp
@@ -231,7 +231,8 @@
         }
         while (auto entry = queue.next(now)) {
             auto& request = requests_.at(by_sequence_.at(entry->token));
-            request.dispatched = true;
+            request.admitted = *entry;
+            request.admitted_at = now;
             dispatch(request, now, out);
         }
     }
@@ -423,8 +424,8 @@
 {
     auto& request = it->second;
     auto& queue = queue_for(request.queue);
-    if (request.dispatched) {
-        queue.finished(now - request.facts.arrived, now);
+    if (request.admitted) {
+        queue.finished(*request.admitted, now - request.admitted_at);
     }
     else {
         queue.remove(request.facts.id.sequence);
--- a/src/request/chat_requests.hpp
+++ b/src/request/chat_requests.hpp
@@ -43,8 +43,9 @@
     std::size_t step{0};
     session_choice choice;
     version_id version;
-    model_id queue; ///< model whose admission queue counts this request
-    bool dispatched{false};
+    model_id queue;                      ///< model whose admission queue counts this request
+    std::optional<queue_entry> admitted; ///< as it left the queue
+    time_point admitted_at;
     limit_amounts estimate;
     std::optional<chat_attempt> attempt;
     std::optional<chat_attempt> broken; ///< the attempt a resume continues
--- a/src/rollout/rollout.hpp
+++ b/src/rollout/rollout.hpp
@@ -16,7 +16,6 @@
 //   rollout_fold fold;
 //   fold.apply(offset, data);
 //   auto share = fold.exposed_basis_points(version, spec);           // 0 to 10000
-//   if (exposes(share, session_bucket(team, session))) { ... }
 //
 // The outcome is the same for every order of a step and a halt with the same number, and a halt is
 // never undone: a corrected build needs a new version name.
@@ -80,13 +79,4 @@
     log_offset next_{0};
 };
 
-/// Bucket of a session named by the caller: 0 to 9999, the same on every VM.
-std::uint32_t session_bucket(const team_id& team, std::string_view session);
-
-/// Whether a bucket, or a random draw from 0 to 9999 for a request without session, is exposed.
-constexpr bool exposes(std::uint32_t share, std::uint32_t bucket)
-{
-    return bucket < share;
-}
-
 } // namespace wagtailhitch
