--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,8 +1,37 @@
-#include <CLI/CLI.hpp>
+#include "cli/commands.hpp"
+
+#include <exception>
+#include <iostream>
+
+namespace {
+
+constexpr const char* exit_status_help =
+    "Exit status: 0 done (submit: accepted); 1 a local file or the node failed; 2 mistakes in "
+    "settings or operators' files; 3 submission rejected; 4 outcome of the submission unknown; "
+    "5 the log or a VM does not answer (submit: nothing was submitted); 100 or more: wrong "
+    "command line.";
+
+} // namespace
 
 int main(int argc, char** argv)
 {
+    using namespace wagtailhitch::cli;
     CLI::App app{"wagtailhitch: a model-aware router for versions and cascades"};
+    app.footer(exit_status_help);
+    app.require_subcommand(1);
+    command chosen;
+    add_serve(app, chosen);
+    add_check(app, chosen);
+    add_submit(app, chosen);
+    add_in_force(app, chosen);
+    add_status(app, chosen);
+    add_keygen(app, chosen);
     CLI11_PARSE(app, argc, argv);
-    return 0;
+    try {
+        return chosen();
+    }
+    catch (const std::exception& e) {
+        std::cerr << "wagtailhitch: " << e.what() << '\n';
+        return status_failed;
+    }
 }
--- a/src/config/fold.cpp
+++ b/src/config/fold.cpp
@@ -153,15 +153,6 @@
     return true;
 }
 
-std::optional<config_output> config_fold::offer_snapshot_part(std::string_view record)
-{
-    auto part = decode_part(record);
-    if (!part || part->kind != config_part::part_kind::snapshot) {
-        return record_ignored{0, "no part of a snapshot"};
-    }
-    return fold_snapshot_part(next_, std::move(*part));
-}
-
 std::optional<config_output> config_fold::fold_snapshot_part(log_offset offset, config_part part)
 {
     const part_key key{part.name, part.content};
--- a/src/config/fold.hpp
+++ b/src/config/fold.hpp
@@ -124,7 +124,11 @@
     std::vector<pending_change> pending;  ///< by first offset
 };
 
-/// Records for the stream `config` and for peers, authenticated with the cluster key. Errors:
+/// JSON for peers, which are authenticated by their connection. Errors: config_invalid.
+nlohmann::json to_json(const config_snapshot& snapshot);
+expected<config_snapshot> snapshot_from_json(const nlohmann::json& json);
+
+/// Records for the stream `config`, authenticated with the cluster key. Errors:
 /// config_invalid when the snapshot needs more than config_parts_limit parts.
 expected<std::vector<std::string>> encode_snapshot(const config_snapshot& snapshot,
                                                    std::string_view cluster_key);
@@ -161,10 +165,6 @@
     /// offset moves on.
     bool adopt(const config_snapshot& snapshot);
 
-    /// One record of encode_snapshot() that came from a peer instead of the log. Returns
-    /// snapshot_adopted or record_ignored (with offset 0), or nothing while parts are missing.
-    std::optional<config_output> offer_snapshot_part(std::string_view record);
-
     /// Never empty; the empty document at revision 0.
     [[nodiscard]] const std::shared_ptr<const document>& current() const { return doc_; }
     [[nodiscard]] wagtailhitch::revision current_revision() const { return revision_; }
--- a/src/config/parse.cpp
+++ b/src/config/parse.cpp
@@ -226,6 +226,7 @@
     const auto address = parse_socket_address(out.address);
     if (!out.address.empty() && (!address || address->port == 0)) {
         in.fail("address", '"' + out.address + '"', "IP:port with a port from 1");
+        out.address.clear();
     }
     out.failure_domain = failure_domain_id{in.name("failure_domain")};
     out.region = region_id{in.name("region")};
--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -94,8 +94,7 @@
 
 } // namespace
 
-expected<std::vector<std::string>> encode_snapshot(const config_snapshot& snapshot,
-                                                   std::string_view cluster_key)
+json to_json(const config_snapshot& snapshot)
 {
     json out{{"next", snapshot.next},     {"at", snapshot.at},
              {"author", snapshot.author}, {"document", to_json(*snapshot.doc)},
@@ -106,7 +105,30 @@
     for (const auto& change : snapshot.pending) {
         out["pending"].push_back(write_pending(change));
     }
-    const auto body = out.dump(-1, ' ', true);
+    return out;
+}
+
+expected<config_snapshot> snapshot_from_json(const json& in)
+{
+    if (!in.is_object() || !in.contains("document")) {
+        return tl::unexpected(invalid("The snapshot is not a JSON object with a document."));
+    }
+    auto doc = parse_document(in.at("document"), "snapshot");
+    if (!doc) {
+        return tl::unexpected(invalid(to_string(doc.error())));
+    }
+    try {
+        return read_snapshot(in, std::move(*doc));
+    }
+    catch (const std::exception& e) {
+        return tl::unexpected(invalid(std::string{"The snapshot is malformed: "} + e.what()));
+    }
+}
+
+expected<std::vector<std::string>> encode_snapshot(const config_snapshot& snapshot,
+                                                   std::string_view cluster_key)
+{
+    const auto body = to_json(snapshot).dump(-1, ' ', true);
     const auto name = std::to_string(snapshot.next) + "/" + std::to_string(snapshot.at);
     return encode_parts(config_part::part_kind::snapshot, name, mac_of(cluster_key, body) + body);
 }
@@ -124,19 +146,10 @@
     }
     config_errors errors;
     const auto parsed = detail::parse_text("snapshot", body, errors);
-    if (!parsed || !parsed->is_object() || !parsed->contains("document")) {
-        return tl::unexpected(invalid("The snapshot is not a JSON object with a document."));
-    }
-    auto doc = parse_document(parsed->at("document"), "snapshot");
-    if (!doc) {
-        return tl::unexpected(invalid(to_string(doc.error())));
-    }
-    try {
-        return read_snapshot(*parsed, std::move(*doc));
-    }
-    catch (const std::exception& e) {
-        return tl::unexpected(invalid(std::string{"The snapshot is malformed: "} + e.what()));
+    if (!parsed) {
+        return tl::unexpected(invalid(to_string(errors)));
     }
+    return snapshot_from_json(*parsed);
 }
 
 } // namespace wagtailhitch
