Judge lease records by what their writer had read, and test the leases

A lease record names the offset up to which its writer had folded the stream instead of the offset of the lease's latest record. A random history showed two VMs with authority when one of them had begun to read after the duty's records had expired: it could not name a predecessor, and followed a record that had lost a race. Such a fold now leaves records undetermined until one is written by a VM that had read everything this fold does not know.

--- /dev/null
+++ b/src/base/test_log.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "base/ids.hpp"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+// One stream of the log for tests of simulated VMs, with the faults of the real one.
+//
+//   test_log log;
+//   bool replied = log.append(data, append_fate::reply_lost);   // false, and the record is stored
+//   log.deliver_delayed();
+
+namespace wagtailhitch {
+
+/// delayed: the record is stored later, and the reply is lost.
+enum class append_fate : std::uint8_t { stored, reply_lost, lost, delayed };
+
+class test_log {
+public:
+    /// Whether the caller gets a reply.
+    bool append(std::string data, append_fate fate)
+    {
+        if (fate == append_fate::delayed) {
+            delayed_.push_back(std::move(data));
+        }
+        else if (fate != append_fate::lost) {
+            records_.push_back(std::move(data));
+        }
+        return fate == append_fate::stored;
+    }
+
+    void deliver_delayed()
+    {
+        for (auto& data : delayed_) {
+            records_.push_back(std::move(data));
+        }
+        delayed_.clear();
+    }
+
+    [[nodiscard]] log_offset head() const { return records_.size(); }
+    [[nodiscard]] const std::string& at(log_offset offset) const { return records_.at(offset); }
+
+private:
+    std::vector<std::string> records_;
+    std::vector<std::string> delayed_;
+};
+
+} // namespace wagtailhitch
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -31,21 +31,22 @@
     }
     const auto* lease = table.find(duty_);
     if (lease != nullptr && lease->holder == self_ && !lease->released) {
-        return holder_step(*lease, now);
+        return holder_step(*lease, table.next_offset(), now);
     }
     return contender_step(table, candidates, now);
 }
 
-void lease_keeper::on_record(log_offset offset, const lease_record& record, bool accepted,
+void lease_keeper::on_record(log_offset offset, const lease_record& record, lease_verdict verdict,
                              time_point now)
 {
-    if (!accepted || record.duty != duty_) {
+    if (verdict == lease_verdict::rejected || record.duty != duty_) {
         return;
     }
     latest_read_ = now;
     next_append_ = {};
     const auto sent = sent_.find(record.nonce);
-    if (record.holder != self_ || record.operation == lease_operation::release) {
+    if (record.holder != self_ || record.operation == lease_operation::release ||
+        verdict == lease_verdict::undetermined) {
         authority_until_ = {};
         sent_.clear();
         return;
@@ -88,14 +89,15 @@
 }
 
 // A lapsed authority is renewed as well: if the renewal is accepted, nobody held the lease since.
-std::optional<lease_record> lease_keeper::holder_step(const lease_state& lease, time_point now)
+std::optional<lease_record> lease_keeper::holder_step(const lease_state& lease,
+                                                      log_offset folded_to, time_point now)
 {
     if (giving_up_) {
         next_append_ = now + settings_.append_again;
-        return make_record(lease_operation::release, lease.latest, lease.fencing, now);
+        return make_record(lease_operation::release, folded_to, lease.fencing, now);
     }
     next_append_ = now + settings_.renew_interval;
-    return make_record(lease_operation::renew, lease.latest, lease.fencing, now);
+    return make_record(lease_operation::renew, folded_to, lease.fencing, now);
 }
 
 std::optional<lease_record> lease_keeper::contender_step(const lease_table& table,
@@ -106,22 +108,18 @@
     if (giving_up_ || !order) {
         return std::nullopt;
     }
-    const auto* lease = table.find(duty_);
-    const auto predecessor = table.predecessor(duty_);
-    // Without a holder there is no authority to wait for: the holder stopped acting before it
-    // released, and an acquire without a predecessor is accepted only as the stream's first.
-    const bool free = lease != nullptr ? lease->released : !predecessor.has_value();
+    // Nobody's authority has to lapse first: a holder stops acting before it releases.
+    const bool free = table.vacant(duty_);
     const auto lapse = scale(settings_.term + settings_.margin, 1.0 + settings_.drift);
     const auto turn = settings_.contention_step * std::min(*order, settings_.maximum_rank);
     if (now < *latest_read_ + (free ? duration{0} : lapse) + turn) {
         return std::nullopt;
     }
     next_append_ = now + settings_.append_again + turn;
-    return make_record(lease_operation::acquire, predecessor, 0, now);
+    return make_record(lease_operation::acquire, table.next_offset(), 0, now);
 }
 
-lease_record lease_keeper::make_record(lease_operation operation,
-                                       std::optional<log_offset> predecessor,
+lease_record lease_keeper::make_record(lease_operation operation, log_offset folded_to,
                                        fencing_number fencing, time_point now)
 {
     // A record sent longer ago than a term gives no authority when it is read back.
@@ -130,7 +128,7 @@
     }
     const auto nonce = next_nonce_++;
     sent_.emplace(nonce, now);
-    return {operation, duty_, self_, predecessor, fencing, nonce};
+    return {operation, duty_, self_, folded_to, fencing, nonce};
 }
 
 std::optional<std::size_t> lease_keeper::rank(const std::vector<vm_id>& candidates) const
--- a/src/lease/lease_keeper.hpp
+++ b/src/lease/lease_keeper.hpp
@@ -41,7 +41,8 @@
 
     /// A record of this duty was folded. Authority is extended only here, never by the reply to an
     /// append, because a reply can be lost.
-    void on_record(log_offset offset, const lease_record& record, bool accepted, time_point now);
+    void on_record(log_offset offset, const lease_record& record, lease_verdict verdict,
+                   time_point now);
 
     /// Gives the duty up: there is no authority from now on, and the next tick appends a release.
     void give_up();
@@ -56,10 +57,11 @@
     [[nodiscard]] const std::string& duty() const { return duty_; }
 
 private:
-    std::optional<lease_record> holder_step(const lease_state& lease, time_point now);
+    std::optional<lease_record> holder_step(const lease_state& lease, log_offset folded_to,
+                                            time_point now);
     std::optional<lease_record>
     contender_step(const lease_table& table, const std::vector<vm_id>& candidates, time_point now);
-    lease_record make_record(lease_operation operation, std::optional<log_offset> predecessor,
+    lease_record make_record(lease_operation operation, log_offset folded_to,
                              fencing_number fencing, time_point now);
     [[nodiscard]] std::optional<std::size_t> rank(const std::vector<vm_id>& candidates) const;
 
--- /dev/null
+++ b/src/lease/lease_keeper_test.cpp
@@ -0,0 +1,347 @@
+#include "base/test_log.hpp"
+#include "lease/lease_keeper.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <array>
+#include <memory>
+
+namespace wagtailhitch {
+namespace {
+
+const std::string duty = "rollout";
+
+class lease_keeper_test : public testing::Test {
+protected:
+    std::optional<lease_record> tick(lease_keeper& keeper, duration by = 0s)
+    {
+        clock_.advance(by);
+        return keeper.tick(table_, candidates_, clock_.now());
+    }
+
+    void fold(const lease_record& record)
+    {
+        const auto offset = table_.next_offset();
+        const auto verdict = table_.apply(offset, record);
+        a_.on_record(offset, record, verdict, clock_.now());
+        b_.on_record(offset, record, verdict, clock_.now());
+    }
+
+    // a_ acquires at the current time.
+    void acquire()
+    {
+        candidates_ = {vm_id{"a-1"}};
+        const auto record = tick(a_);
+        ASSERT_TRUE(record.has_value());
+        fold(*record);
+        candidates_ = {vm_id{"a-1"}, vm_id{"b-1"}};
+    }
+
+    manual_clock clock_;
+    lease_table table_;
+    std::vector<vm_id> candidates_{vm_id{"a-1"}, vm_id{"b-1"}};
+    lease_keeper a_{duty, {vm_id{"a-1"}, 1}, {}};
+    lease_keeper b_{duty, {vm_id{"b-1"}, 1}, {}};
+};
+
+// Guards against authority that begins when a slow reply arrives instead of before sending.
+TEST_F(lease_keeper_test, authority_counts_from_the_time_before_sending)
+{
+    candidates_ = {vm_id{"a-1"}};
+    const auto record = tick(a_);
+    ASSERT_TRUE(record.has_value());
+    clock_.advance(3s);
+    EXPECT_FALSE(a_.authority(clock_.now()).has_value());
+    fold(*record);
+    EXPECT_EQ(a_.authority(clock_.now()), fencing_number{1});
+    // Term 6 s less margin 1 s less 1% drift is 4.95 s after sending.
+    EXPECT_TRUE(a_.authority(clock_.now() + 1949ms).has_value());
+    EXPECT_FALSE(a_.authority(clock_.now() + 1950ms).has_value());
+}
+
+// Guards against a holder that was paused and acts on a lease that has lapsed.
+TEST_F(lease_keeper_test, paused_holder_finds_its_authority_lapsed)
+{
+    acquire();
+    EXPECT_TRUE(a_.authority(clock_.now()).has_value());
+    clock_.advance(20s);
+    EXPECT_FALSE(a_.authority(clock_.now()).has_value());
+    EXPECT_TRUE(a_.lost(clock_.now()));
+}
+
+TEST_F(lease_keeper_test, renewal_keeps_authority_and_fencing_number)
+{
+    acquire();
+    for (int i = 0; i < 20; ++i) {
+        const auto record = tick(a_, 2s);
+        ASSERT_TRUE(record.has_value());
+        EXPECT_EQ(record->operation, lease_operation::renew);
+        fold(*record);
+        EXPECT_EQ(a_.authority(clock_.now()), fencing_number{1});
+        EXPECT_FALSE(tick(a_).has_value());
+    }
+}
+
+// Guards the rule of design 3.7 that the holder's authority ends before another may acquire.
+TEST_F(lease_keeper_test, contender_waits_for_term_and_margin_after_the_latest_record)
+{
+    acquire();
+    candidates_ = {vm_id{"b-1"}};
+    EXPECT_FALSE(tick(b_, 7069ms).has_value());
+    const auto record = tick(b_, 1ms);
+    ASSERT_TRUE(record.has_value());
+    EXPECT_EQ(record->operation, lease_operation::acquire);
+    EXPECT_EQ(record->folded_to, log_offset{1});
+}
+
+TEST_F(lease_keeper_test, append_whose_reply_was_lost_is_learned_from_the_stream)
+{
+    candidates_ = {vm_id{"a-1"}};
+    const auto first = tick(a_);
+    const auto second = tick(a_, 2s);
+    ASSERT_TRUE(first && second);
+    fold(*first);
+    fold(*second);
+    EXPECT_EQ(a_.authority(clock_.now()), fencing_number{1});
+    EXPECT_EQ(a_.authority_until(), clock_.now() - 2s + 4950ms);
+}
+
+TEST_F(lease_keeper_test, loser_of_a_race_gets_no_authority)
+{
+    acquire();
+    clock_.advance(10s);
+    const auto from_a = tick(a_);
+    const auto from_b = tick(b_);
+    ASSERT_TRUE(from_a && from_b);
+    fold(*from_b);
+    fold(*from_a);
+    EXPECT_EQ(b_.authority(clock_.now()), fencing_number{2});
+    EXPECT_FALSE(a_.authority(clock_.now()).has_value());
+}
+
+TEST_F(lease_keeper_test, released_lease_is_taken_over_without_waiting)
+{
+    acquire();
+    a_.give_up();
+    EXPECT_FALSE(a_.authority(clock_.now()).has_value());
+    const auto record = tick(a_);
+    ASSERT_TRUE(record.has_value());
+    EXPECT_EQ(record->operation, lease_operation::release);
+    fold(*record);
+    candidates_ = {vm_id{"b-1"}};
+    EXPECT_TRUE(tick(b_).has_value());
+    EXPECT_FALSE(tick(a_, 1min).has_value()) << "The VM contends again after giving up.";
+}
+
+// Guards against all VMs appending at once when a lease lapses.
+TEST_F(lease_keeper_test, contenders_take_turns)
+{
+    candidates_.clear();
+    for (int i = 0; i < 26; ++i) {
+        candidates_.emplace_back("vm-" + std::to_string(i));
+    }
+    std::size_t at_once = 0;
+    std::size_t later = 0;
+    for (const auto& vm : candidates_) {
+        lease_keeper keeper{duty, {vm, 1}, {}};
+        const bool first = keeper.tick(table_, candidates_, clock_.now()).has_value();
+        const bool second = keeper.tick(table_, candidates_, clock_.now() + 2s).has_value();
+        at_once += first ? 1 : 0;
+        later += second && !first ? 1 : 0;
+    }
+    EXPECT_EQ(at_once, 1U);
+    EXPECT_EQ(later, 25U);
+    lease_keeper stranger{duty, {vm_id{"other"}, 1}, {}};
+    EXPECT_FALSE(stranger.tick(table_, candidates_, clock_.now() + 1h).has_value());
+}
+
+// ---- random histories of VMs that share a log, whose clocks run at different rates
+
+constexpr std::size_t vm_count = 3;
+constexpr std::array<double, vm_count> clock_rates{0.995, 1.0, 1.005};
+constexpr duration retention = 60s;
+
+struct simulated_vm {
+    process_id id;
+    lease_table table;
+    std::unique_ptr<lease_keeper> keeper;
+    bool frozen{false};
+};
+
+class lease_history {
+public:
+    lease_history()
+    {
+        for (std::size_t n = 0; n < vm_count; ++n) {
+            candidates_.emplace_back("vm-" + std::to_string(n));
+            boot(n);
+        }
+    }
+
+    void step(std::uint32_t word)
+    {
+        const auto argument = word >> 8U;
+        const auto n = (word >> 4U) % vm_count;
+        switch (word % 16) {
+        case 0:
+        case 1:
+        case 2:
+        case 3:
+            tick(n, argument);
+            break;
+        case 4:
+        case 5:
+        case 6:
+        case 7:
+            read(n, argument % 5);
+            break;
+        case 8:
+            log_.deliver_delayed();
+            break;
+        case 9:
+            vms_.at(n).frozen = argument % 3 == 0;
+            break;
+        case 10:
+            if (argument % 4 == 0) {
+                boot(n);
+            }
+            break;
+        case 11:
+            if (argument % 4 == 0) {
+                vms_.at(n).keeper->give_up();
+            }
+            if (argument % 4 == 1) {
+                vms_.at(n).keeper->resume();
+            }
+            break;
+        default:
+            advance(std::chrono::milliseconds{argument % 1500});
+        }
+        check();
+    }
+
+    // With everything working, one VM has authority within two terms.
+    void settle()
+    {
+        for (int i = 0; i < 200; ++i) {
+            advance(100ms);
+            for (std::size_t n = 0; n < vm_count; ++n) {
+                vms_.at(n).frozen = false;
+                vms_.at(n).keeper->resume();
+                tick(n, 0);
+                read(n, 100);
+                check();
+            }
+        }
+        RC_ASSERT(holders() == 1U);
+    }
+
+    [[nodiscard]] std::size_t changes() const { return changes_; }
+
+private:
+    [[nodiscard]] time_point local(std::size_t n) const
+    {
+        const auto real = static_cast<double>((clock_.now() - time_point{}).count());
+        return time_point{duration{static_cast<duration::rep>(real * clock_rates.at(n))}};
+    }
+
+    void boot(std::size_t n)
+    {
+        auto& vm = vms_.at(n);
+        vm = {};
+        vm.id = {candidates_.at(n), ++incarnation_};
+        vm.table.start(oldest_);
+        vm.keeper = std::make_unique<lease_keeper>(duty, vm.id, lease_settings{});
+    }
+
+    void tick(std::size_t n, std::uint32_t argument)
+    {
+        auto& vm = vms_.at(n);
+        if (vm.frozen) {
+            return;
+        }
+        if (const auto record = vm.keeper->tick(vm.table, candidates_, local(n))) {
+            // Half of the appends fail in one of the three ways; the reply is not used.
+            const auto fate = argument % 2 == 0 ? append_fate::stored
+                                                : static_cast<append_fate>(argument / 2 % 4);
+            log_.append(encode_lease_record(*record), fate);
+        }
+    }
+
+    void read(std::size_t n, std::uint32_t records)
+    {
+        auto& vm = vms_.at(n);
+        while (!vm.frozen && vm.table.next_offset() < log_.head() && records-- > 0) {
+            const auto offset = vm.table.next_offset();
+            const auto record = decode_lease_record(log_.at(offset));
+            RC_ASSERT(record.has_value());
+            const auto verdict = vm.table.apply(offset, *record);
+            vm.keeper->on_record(offset, *record, verdict, local(n));
+        }
+    }
+
+    // Records expire after the retention; a VM that boots later does not see them.
+    void advance(duration by)
+    {
+        clock_.advance(by);
+        while (appended_.size() < log_.head()) {
+            appended_.push_back(clock_.now());
+        }
+        while (oldest_ < appended_.size() && appended_[oldest_] + retention < clock_.now()) {
+            ++oldest_;
+        }
+    }
+
+    [[nodiscard]] std::size_t holders() const
+    {
+        std::size_t count = 0;
+        for (std::size_t n = 0; n < vm_count; ++n) {
+            count += vms_.at(n).keeper->authority(local(n)) ? 1 : 0;
+        }
+        return count;
+    }
+
+    void check()
+    {
+        RC_ASSERT(holders() <= 1U);
+        for (std::size_t n = 0; n < vm_count; ++n) {
+            const auto fencing = vms_.at(n).keeper->authority(local(n));
+            if (!fencing) {
+                continue;
+            }
+            RC_ASSERT(*fencing >= highest_);
+            RC_ASSERT(*fencing > highest_ || vms_.at(n).id == holder_);
+            changes_ += *fencing > highest_ ? 1 : 0;
+            highest_ = *fencing;
+            holder_ = vms_.at(n).id;
+        }
+    }
+
+    manual_clock clock_;
+    test_log log_;
+    std::vector<time_point> appended_;
+    log_offset oldest_{0};
+    std::vector<vm_id> candidates_;
+    std::array<simulated_vm, vm_count> vms_;
+    incarnation incarnation_{0};
+    fencing_number highest_{0};
+    process_id holder_;
+    std::size_t changes_{0};
+};
+
+// Guards against two holders at one instant, and against a fencing number that goes back.
+RC_GTEST_FIXTURE_PROP(lease_keeper_test, at_most_one_vm_has_authority_at_any_instant, ())
+{
+    const auto words = *rc::gen::container<std::vector<std::uint32_t>>(
+        500, rc::gen::resize(100, rc::gen::arbitrary<std::uint32_t>()));
+    lease_history history;
+    for (const auto word : words) {
+        history.step(word);
+    }
+    history.settle();
+    RC_CLASSIFY(history.changes() >= 3, "three holders or more");
+}
+
+} // namespace
+} // namespace wagtailhitch
--- a/src/lease/lease_record.cpp
+++ b/src/lease/lease_record.cpp
@@ -6,13 +6,9 @@
 
 std::string encode_lease_record(const lease_record& record)
 {
-    nlohmann::json predecessor;
-    if (record.predecessor) {
-        predecessor = *record.predecessor;
-    }
     return encode_msgpack(nlohmann::json::array(
         {static_cast<std::uint64_t>(record.operation), record.duty, record.holder.vm.value,
-         record.holder.run, predecessor, record.fencing, record.nonce}));
+         record.holder.run, record.folded_to, record.fencing, record.nonce}));
 }
 
 expected<lease_record> decode_lease_record(std::string_view data)
@@ -27,9 +23,7 @@
     record.duty = in.text();
     record.holder.vm = vm_id{in.text()};
     record.holder.run = in.number();
-    if (in.present()) {
-        record.predecessor = in.number();
-    }
+    record.folded_to = in.number();
     record.fencing = in.number();
     record.nonce = in.number();
     if (!in.complete() || operation > static_cast<std::uint64_t>(lease_operation::release)) {
--- a/src/lease/lease_record.hpp
+++ b/src/lease/lease_record.hpp
@@ -5,13 +5,12 @@
 #include "base/names.hpp"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
 // Records of the stream `leases`, one lease operation each.
 //
-//   std::string data = encode_lease_record({lease_operation::acquire, "rollout", self, 41, 0, 1});
+//   std::string data = encode_lease_record({lease_operation::acquire, "rollout", self, 42, 0, 1});
 
 namespace wagtailhitch {
 
@@ -33,9 +32,10 @@
     lease_operation operation{lease_operation::acquire};
     std::string duty;
     process_id holder;
-    /// Offset of the duty's latest accepted record as the writer knew it. A writer that knows none
-    /// names the last offset before its fold began; nothing when its fold began at 0.
-    std::optional<log_offset> predecessor;
+    /// The writer had folded every record of the stream below this offset. Stands for the duty's
+    /// latest record as the writer knew it: both admit the same records, but this one can also be
+    /// judged by a fold that began after that record had expired.
+    log_offset folded_to{0};
     fencing_number fencing{0}; ///< renew and release: the number of the lease
     std::uint64_t nonce{0};    ///< of the holder; tells apart the records of one process
 
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -8,7 +8,7 @@
 {
     const bool acquired = record.operation == lease_operation::acquire;
     return lease_state{record.holder, acquired ? offset + 1 : record.fencing, offset,
-                       record.operation == lease_operation::release, record.nonce};
+                       record.operation == lease_operation::release};
 }
 
 } // namespace
@@ -19,69 +19,58 @@
     next_ = oldest;
 }
 
-bool lease_table::apply(log_offset offset, const lease_record& record)
+lease_verdict lease_table::apply(log_offset offset, const lease_record& record)
 {
-    if (offset < next_) {
-        return false;
+    if (offset < next_ || record.folded_to > offset) {
+        return lease_verdict::rejected;
     }
     next_ = offset + 1;
-    const auto it = duties_.find(record.duty);
-    if (it == duties_.end()) {
-        return begin_chain(offset, record);
+    auto& duty = duties_.try_emplace(record.duty, duty_state{std::nullopt, start_}).first->second;
+    const auto verdict = decide(duty, record);
+    if (verdict == lease_verdict::accepted) {
+        duty.lease = state_after(offset, record);
     }
-    return extend_chain(it->second, offset, record);
-}
-
-const lease_state* lease_table::find(const std::string& duty) const
-{
-    const auto it = duties_.find(duty);
-    return it == duties_.end() ? nullptr : &it->second.lease;
+    if (verdict == lease_verdict::undetermined) {
+        duty.lease.reset();
+        duty.undetermined_below = offset + 1;
+    }
+    return verdict;
 }
 
-std::optional<log_offset> lease_table::predecessor(const std::string& duty) const
+lease_verdict lease_table::decide(const duty_state& duty, const lease_record& record)
 {
-    const auto it = duties_.find(duty);
-    if (it != duties_.end()) {
-        return it->second.lease.latest;
+    if (duty.lease && duty.lease->latest >= record.folded_to) {
+        return lease_verdict::rejected;
+    }
+    if (record.folded_to < duty.undetermined_below) {
+        return lease_verdict::undetermined;
+    }
+    if (record.operation == lease_operation::acquire) {
+        return lease_verdict::accepted;
     }
-    return start_ == 0 ? std::nullopt : std::optional{start_ - 1};
+    if (duty.lease) {
+        const bool by_holder = !duty.lease->released && record.holder == duty.lease->holder &&
+                               record.fencing == duty.lease->fencing;
+        return by_holder ? lease_verdict::accepted : lease_verdict::rejected;
+    }
+    // The holder was not seen to acquire, but it had folded everything that this fold does not
+    // know when it wrote the record. A fold that began at 0 knows that nobody holds the duty.
+    return duty.undetermined_below > 0 ? lease_verdict::accepted : lease_verdict::rejected;
 }
 
-bool lease_table::begin_chain(log_offset offset, const lease_record& record)
+const lease_state* lease_table::find(const std::string& duty) const
 {
-    // A fold that began at 0 knows that nothing can be renewed yet.
-    if (start_ == 0 && record.operation != lease_operation::acquire) {
-        return false;
-    }
-    if (record.predecessor && *record.predecessor >= offset) {
-        return false;
-    }
-    // A predecessor just before the start, or later, leaves no room for an unknown record.
-    const bool provisional =
-        start_ > 0 && (!record.predecessor || *record.predecessor + 1 < start_);
-    duties_[record.duty] = {state_after(offset, record), record.predecessor, provisional};
-    return true;
+    const auto it = duties_.find(duty);
+    return it == duties_.end() || !it->second.lease ? nullptr : &*it->second.lease;
 }
 
-bool lease_table::extend_chain(duty_state& duty, log_offset offset, const lease_record& record)
+bool lease_table::vacant(const std::string& duty) const
 {
-    if (record.predecessor && *record.predecessor >= offset) {
-        return false;
-    }
-    const bool names_latest = record.predecessor && *record.predecessor >= duty.lease.latest;
-    const bool better_start = duty.provisional && !names_latest && record.predecessor > duty.base &&
-                              *record.predecessor < start_;
-    if (better_start) {
-        // The chain so far followed a record that lost a race before this fold began.
-        return begin_chain(offset, record);
-    }
-    const bool by_holder = record.holder == duty.lease.holder &&
-                           record.fencing == duty.lease.fencing && !duty.lease.released;
-    if (!names_latest || (record.operation != lease_operation::acquire && !by_holder)) {
-        return false;
+    const auto it = duties_.find(duty);
+    if (it == duties_.end()) {
+        return start_ == 0;
     }
-    duty.lease = state_after(offset, record);
-    return true;
+    return it->second.lease ? it->second.lease->released : it->second.undetermined_below == 0;
 }
 
 } // namespace wagtailhitch
--- a/src/lease/lease_table.hpp
+++ b/src/lease/lease_table.hpp
@@ -9,7 +9,7 @@
 // The fold of the stream `leases`: compare-and-swap by log order, without clocks.
 //
 //   table.start(batch.oldest);
-//   bool accepted = table.apply(record.offset, *decode_lease_record(record.data));
+//   lease_verdict verdict = table.apply(record.offset, *decode_lease_record(record.data));
 //   const lease_state* state = table.find("rollout");
 
 namespace wagtailhitch {
@@ -19,35 +19,44 @@
     fencing_number fencing{0};
     log_offset latest{0}; ///< offset of the latest accepted record
     bool released{false};
-    std::uint64_t nonce{0}; ///< of the latest accepted record
 
     friend bool operator==(const lease_state&, const lease_state&) = default;
 };
 
+/// undetermined: the verdict depends on records from before the fold began.
+enum class lease_verdict { accepted, rejected, undetermined };
+
+template<>
+inline constexpr auto enum_names<lease_verdict> = name_table<lease_verdict, 3>{{
+    {lease_verdict::accepted, "accepted"},
+    {lease_verdict::rejected, "rejected"},
+    {lease_verdict::undetermined, "undetermined"},
+}};
+
 class lease_table {
 public:
-    /// The fold begins at `oldest`. State from before is learned from renewals; see apply().
+    /// The fold begins at `oldest`. Duties held before are learned from the renewals that follow.
     void start(log_offset oldest);
 
-    /// Accepts the record if no record of its duty was accepted after its predecessor, and a renew
-    /// or release only from the holder. After a start above 0 the duty's state at the start is
-    /// unknown: then the record with the highest predecessor before the start decides.
-    bool apply(log_offset offset, const lease_record& record);
+    /// Accepts the record if no record of its duty was accepted at or after `folded_to`, and a
+    /// renew or release only from the holder. Offsets below next_offset() are rejected.
+    lease_verdict apply(log_offset offset, const lease_record& record);
 
+    /// Nothing while the duty was never held, or its state is undetermined.
     [[nodiscard]] const lease_state* find(const std::string& duty) const;
-    /// What a new record of the duty names as its predecessor.
-    [[nodiscard]] std::optional<log_offset> predecessor(const std::string& duty) const;
+    /// Nobody can have authority: the duty was released, or never held since offset 0.
+    [[nodiscard]] bool vacant(const std::string& duty) const;
     [[nodiscard]] log_offset next_offset() const { return next_; }
 
 private:
     struct duty_state {
-        lease_state lease;
-        std::optional<log_offset> base; // predecessor that the chain began with, before start_
-        bool provisional{false};        // a record with a higher predecessor before start_ wins
+        std::optional<lease_state> lease;
+        // A record written by a VM that had folded less than this depends on records that this
+        // fold does not know, or on other undetermined records.
+        log_offset undetermined_below{0};
     };
 
-    bool begin_chain(log_offset offset, const lease_record& record);
-    bool extend_chain(duty_state& duty, log_offset offset, const lease_record& record);
+    static lease_verdict decide(const duty_state& duty, const lease_record& record);
 
     log_offset start_{0};
     log_offset next_{0};
