--- a/src/claim/claim_record_test.cpp
+++ b/src/claim/claim_record_test.cpp
@@ -51,7 +51,7 @@
 // Guards against exhausting the stack: 64 KiB of array headers nest 65,536 levels.
 TEST_F(claim_record_test, deeply_nested_record_is_an_error)
 {
-    EXPECT_FALSE(decode_claim_batch(std::string(64 * 1024, '\x91')).has_value());
+    EXPECT_FALSE(decode_claim_batch(std::string(65'536, '\x91')).has_value());
 }
 
 RC_GTEST_FIXTURE_PROP(claim_record_test, arbitrary_data_does_not_crash, (const std::string& data))
--- a/src/claim/claim_table_test.cpp
+++ b/src/claim/claim_table_test.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::int64_t wall = 1'700'000'000'000;
 constexpr std::int64_t hour = 3'600'000;
+constexpr std::int64_t clock_skew = 300'000;
 
 class claim_table_test : public testing::Test {
 protected:
@@ -31,7 +32,7 @@
         return table_.apply(table_.next_offset(), {0, std::move(items)}, at);
     }
 
-    claim_table table_{{24 * hour, 5 * 60'000, 64 * 1024}};
+    claim_table table_{{24 * hour, clock_skew, 65'536}};
     request_id first_{request("a-1", 1)};
     request_id second_{request("b-1", 1)};
 };
@@ -117,9 +118,9 @@
 TEST_F(claim_table_test, claims_expire_after_retention_and_clock_difference)
 {
     apply({claim(1, first_), claim(2, first_, wall + hour)}, wall + hour);
-    table_.expire(wall + 24 * hour + 5 * 60'000);
+    table_.expire(wall + 24 * hour + clock_skew);
     EXPECT_EQ(table_.size(), 2U);
-    table_.expire(wall + 24 * hour + 5 * 60'000 + 1000);
+    table_.expire(wall + 24 * hour + clock_skew + 1000);
     EXPECT_EQ(table_.find(key(1)).phase, claim_phase::absent);
     EXPECT_EQ(table_.find(key(2)).phase, claim_phase::running);
     EXPECT_EQ(table_.horizon_ms(wall + 25 * hour), wall + hour);
@@ -143,7 +144,7 @@
     table_.start(1000, wall);
     EXPECT_GE(table_.horizon_ms(wall), wall);
     apply({claim(1, first_, wall - 2 * hour)});
-    EXPECT_EQ(table_.horizon_ms(wall), wall - 2 * hour + 5 * 60'000);
+    EXPECT_EQ(table_.horizon_ms(wall), wall - 2 * hour + clock_skew);
     table_.gap(5000, wall + hour);
     EXPECT_EQ(table_.next_offset(), 5000U);
     EXPECT_GE(table_.horizon_ms(wall + hour), wall + hour);
@@ -240,7 +241,7 @@
             now += it.hours * hour;
             table_.expire(now);
             std::erase_if(model, [&](const auto& entry) {
-                return claimed_at[entry.first] < now - 24 * hour - 5 * 60'000;
+                return claimed_at[entry.first] < now - 24 * hour - clock_skew;
             });
         }
         check_against(table_, model);
