--- a/src/node/stream_control.cpp
+++ b/src/node/stream_control.cpp
@@ -118,15 +118,14 @@
             .add();
         return;
     }
-    const bool accepted = state_.leases.apply(record.offset, *decoded);
-    if (accepted) {
-        state_.counters
-            .count("lease_changes_total", {{"operation", std::string{name_of(decoded->operation)}}})
-            .add();
-    }
+    const auto verdict = state_.leases.apply(record.offset, *decoded);
+    state_.counters
+        .count("lease_records_total", {{"operation", std::string{name_of(decoded->operation)}},
+                                       {"verdict", std::string{name_of(verdict)}}})
+        .add();
     for (auto& [which, keeper] : keepers_) {
         if (keeper.duty() == decoded->duty) {
-            keeper.on_record(record.offset, *decoded, accepted, now);
+            keeper.on_record(record.offset, *decoded, verdict, now);
         }
     }
 }
