Decide who reads and relays the configuration stream

Two VMs of a domain read the log and push records; the others ask one of them every second and fall back to other peers and to the log.

--- /dev/null
+++ b/src/config/follow.cpp
@@ -0,0 +1,403 @@
+#include "config/follow.hpp"
+
+#include "base/digest.hpp"
+
+#include <algorithm>
+
+namespace wagtailhitch {
+
+namespace {
+
+// One answer stays well below the bound of a peer frame (1 MiB).
+constexpr std::size_t answer_bytes = std::size_t{256} * 1024;
+// Answers to older requests say nothing about the present.
+constexpr duration mark_lifetime = 10s;
+constexpr std::size_t open_marks = 64;
+// A peer that was not heard for this long cannot vouch for the state of a booting VM.
+constexpr duration vouch_lifetime = 5s;
+constexpr std::size_t vouching_peers = 2;
+
+std::uint64_t mark_of(time_point now)
+{
+    return static_cast<std::uint64_t>(now.time_since_epoch().count());
+}
+
+time_point time_of(std::uint64_t mark)
+{
+    return time_point{duration{static_cast<duration::rep>(mark)}};
+}
+
+std::vector<vm_id> choose_relays(const std::vector<domain_member>& members, const vm_id& self,
+                                 std::size_t n)
+{
+    std::vector<vm_id> out{self};
+    for (const auto& member : members) {
+        if (member.same_domain) {
+            out.push_back(member.vm);
+        }
+    }
+    std::ranges::sort(out, std::ranges::greater{}, [](const vm_id& vm) {
+        return std::pair{rendezvous_weight("config-relay", vm.value), vm};
+    });
+    out.resize(std::min(n, out.size()));
+    return out;
+}
+
+} // namespace
+
+config_follower::config_follower(follow_settings settings, config_fold fold, time_point now)
+    : settings_{std::move(settings)}, fold_{std::move(fold)}, random_{settings_.seed},
+      started_at_{now}, relays_{settings_.self}
+{
+}
+
+void config_follower::set_members(std::vector<domain_member> live, std::size_t listed,
+                                  time_point now, outputs& out)
+{
+    std::erase_if(live, [this](const auto& member) { return member.vm == settings_.self; });
+    listed_ = std::max(listed, live.size());
+    if (live == members_) {
+        return;
+    }
+    members_ = std::move(live);
+    relays_ = choose_relays(members_, settings_.self, settings_.relays);
+    std::erase_if(peers_, [this](const auto& entry) {
+        return std::ranges::find(members_, entry.first, &domain_member::vm) == members_.end();
+    });
+    decide_following(now, out);
+}
+
+bool config_follower::relay() const
+{
+    return std::ranges::find(relays_, settings_.self) != relays_.end();
+}
+
+bool config_follower::stale(time_point now) const
+{
+    return !confirmed_at_ || now - *confirmed_at_ > settings_.stale_after;
+}
+
+bool config_follower::cut_off(time_point now) const
+{
+    return !confirmed_at_ || now - *confirmed_at_ > settings_.cut_off_after;
+}
+
+void config_follower::on_log(const log_batch& batch, time_point now, outputs& out)
+{
+    log_heard_at_ = now;
+    log_failed_ = false;
+    if (fold_.note_oldest(batch.oldest)) {
+        forget_cache();
+        ask_peers(now, out);
+    }
+    const bool was_ready = ready_;
+    std::vector<log_record> fresh;
+    apply(batch.records, fresh, out);
+    if (!fold_.seeking_snapshot() && fold_.folded_through() >= batch.head) {
+        confirm(batch.asked_at, now);
+        ready_ = true;
+    }
+    // A booting VM reads what the others have long had.
+    if (was_ready && relay()) {
+        push(fresh, now, out);
+    }
+    // The reader continues behind the batch; a snapshot may want records from further back.
+    const auto read_up_to = batch.records.empty() ? batch.from : batch.records.back().offset + 1;
+    if (following_ && fold_.next_offset() < read_up_to) {
+        out.emplace_back(start_following{fold_.next_offset()});
+    }
+    decide_following(now, out);
+}
+
+void config_follower::on_log_failed(time_point now, outputs& out)
+{
+    log_failed_ = true;
+    decide_readiness(now);
+    decide_following(now, out);
+}
+
+void config_follower::apply(const std::vector<log_record>& records, std::vector<log_record>& fresh,
+                            outputs& out)
+{
+    for (const auto& record : records) {
+        const auto before = fold_.folded_through();
+        auto events = fold_.apply(record.offset, record.data);
+        if (before == record.offset && fold_.folded_through() == record.offset + 1) {
+            remember(record);
+            fresh.push_back(record);
+        }
+        report(std::move(events), out);
+    }
+}
+
+void config_follower::report(std::vector<config_output> events, outputs& out)
+{
+    for (auto& event : events) {
+        if (std::holds_alternative<snapshot_adopted>(event)) {
+            forget_cache();
+        }
+        out.emplace_back(fold_event{std::move(event)});
+    }
+}
+
+void config_follower::remember(const log_record& record)
+{
+    cache_bytes_ += record.data.size();
+    cache_.push_back(record);
+    while (cache_.size() > settings_.cache_records || cache_bytes_ > settings_.cache_bytes) {
+        cache_bytes_ -= cache_.front().data.size();
+        cache_.pop_front();
+    }
+}
+
+void config_follower::forget_cache()
+{
+    cache_.clear();
+    cache_bytes_ = 0;
+}
+
+records_message config_follower::answer_from(log_offset from, time_point now) const
+{
+    records_message out;
+    out.next = fold_.folded_through();
+    out.oldest = cache_.empty() ? out.next : cache_.front().offset;
+    out.ready = ready_ && !fold_.seeking_snapshot();
+    if (confirmed_at_) {
+        out.confirmed_age = now - *confirmed_at_;
+    }
+    std::size_t bytes = 0;
+    for (auto i = std::max(from, out.oldest); i < out.next && bytes < answer_bytes; ++i) {
+        const auto& record = cache_.at(i - out.oldest);
+        bytes += record.data.size();
+        out.records.push_back(record);
+    }
+    return out;
+}
+
+void config_follower::push(const std::vector<log_record>& fresh, time_point now, outputs& out) const
+{
+    if (fresh.empty()) {
+        return;
+    }
+    const auto message = answer_from(fresh.front().offset, now);
+    for (const auto& member : members_) {
+        const bool reads_log = std::ranges::find(relays_, member.vm) != relays_.end();
+        if (member.same_domain && !reads_log) {
+            out.emplace_back(send_records{member.vm, message});
+        }
+    }
+}
+
+void config_follower::on_request(const vm_id& peer, const records_request& request, time_point now,
+                                 outputs& out)
+{
+    auto message = answer_from(request.from, now);
+    message.mark = request.mark;
+    const bool lost = request.snapshot || request.from < message.oldest;
+    if (lost && message.ready && message.next > request.from) {
+        out.emplace_back(send_snapshot{peer, fold_.snapshot(), request.mark});
+        return;
+    }
+    if (lost) {
+        message.records.clear();
+    }
+    out.emplace_back(send_records{peer, std::move(message)});
+}
+
+bool config_follower::recent_mark(std::uint64_t mark, time_point now) const
+{
+    return std::ranges::find(marks_, mark) != marks_.end() && now - time_of(mark) <= mark_lifetime;
+}
+
+void config_follower::on_records(const vm_id& peer, const records_message& message, time_point now,
+                                 outputs& out)
+{
+    const auto before = fold_.next_offset();
+    std::vector<log_record> fresh;
+    if (!fold_.seeking_snapshot()) {
+        apply(message.records, fresh, out);
+    }
+    accept_answer(peer, message, now);
+    // An answer without progress is not repeated at once: the peer has nothing more.
+    const bool progress = fold_.next_offset() > before || !message.mark;
+    if (progress && message.next > fold_.folded_through()) {
+        ask(peer, now, out);
+    }
+    decide_readiness(now);
+    decide_following(now, out);
+}
+
+void config_follower::accept_answer(const vm_id& peer, const records_message& message,
+                                    time_point now)
+{
+    if (!message.mark || !recent_mark(*message.mark, now)) {
+        return;
+    }
+    peers_[peer] = {message.next, message.ready, now};
+    if (!message.ready || !message.confirmed_age || fold_.seeking_snapshot() ||
+        fold_.folded_through() < message.next) {
+        return;
+    }
+    // The peer stated its age after the request was sent, so that counting from the sending never
+    // makes the state look fresher than it is, however long the answer took.
+    confirm(time_of(*message.mark) - *message.confirmed_age, now);
+    if (!stale(now)) {
+        confirmed_by_peer_at_ = now;
+        ready_ = true;
+    }
+}
+
+void config_follower::on_snapshot(const vm_id& peer, const config_snapshot& snapshot,
+                                  time_point now, outputs& out)
+{
+    if (!fold_.adopt(snapshot)) {
+        return;
+    }
+    forget_cache();
+    out.emplace_back(fold_event{snapshot_adopted{fold_.current_revision(), fold_.next_offset()}});
+    if (following_) {
+        out.emplace_back(start_following{fold_.next_offset()});
+    }
+    ask(peer, now, out);
+}
+
+void config_follower::confirm(time_point at, time_point now)
+{
+    at = std::min(at, now);
+    if (!confirmed_at_ || at > *confirmed_at_) {
+        confirmed_at_ = at;
+    }
+}
+
+void config_follower::ask(const vm_id& peer, time_point now, outputs& out)
+{
+    const auto mark = mark_of(now);
+    if (marks_.empty() || marks_.back() != mark) {
+        marks_.push_back(mark);
+    }
+    if (marks_.size() > open_marks) {
+        marks_.pop_front();
+    }
+    out.emplace_back(send_request{peer, {fold_.folded_through(), fold_.seeking_snapshot(), mark}});
+}
+
+std::vector<vm_id> config_follower::ask_order(time_point now)
+{
+    std::vector<vm_id> out;
+    std::vector<vm_id> others;
+    for (const auto& vm : relays_) {
+        if (vm != settings_.self) {
+            out.push_back(vm);
+        }
+    }
+    if (!out.empty()) {
+        std::ranges::rotate(out,
+                            out.begin() + static_cast<std::ptrdiff_t>(next_relay_++ % out.size()));
+    }
+    // Relays read the log; they need no peer while it confirms them. A VM that has no fresh state
+    // asks any other VM as well, also in other domains.
+    const bool wants_more = !ready_ || stale(now) || fold_.seeking_snapshot();
+    if (!wants_more) {
+        out.resize(relay() ? 0 : std::min<std::size_t>(1, out.size()));
+        return out;
+    }
+    for (const auto& member : members_) {
+        if (std::ranges::find(out, member.vm) == out.end()) {
+            others.push_back(member.vm);
+        }
+    }
+    std::ranges::shuffle(others, random_);
+    out.resize(std::min<std::size_t>(1, out.size()));
+    others.resize(std::min(others.size(), vouching_peers + 1 - out.size()));
+    out.insert(out.end(), others.begin(), others.end());
+    return out;
+}
+
+void config_follower::ask_peers(time_point now, outputs& out)
+{
+    asked_at_ = now;
+    for (const auto& vm : ask_order(now)) {
+        ask(vm, now, out);
+    }
+}
+
+void config_follower::tick(time_point now, outputs& out)
+{
+    if (!asked_at_ || now - *asked_at_ >= settings_.poll_interval) {
+        ask_peers(now, out);
+    }
+    decide_readiness(now);
+    decide_following(now, out);
+}
+
+void config_follower::decide_following(time_point now, outputs& out)
+{
+    const bool peers_deliver =
+        confirmed_by_peer_at_ && now - *confirmed_by_peer_at_ <= settings_.stale_after;
+    if (!ready_ || relay() || (direct_ && peers_deliver)) {
+        direct_ = false;
+        direct_at_.reset();
+    }
+    else if (!direct_ && stale(now) && !direct_at_) {
+        // The jitter keeps a domain whose relays died from reading the log all at once, and leaves
+        // the peers asked at the same time a moment to answer.
+        const auto longest = settings_.max_log_jitter.count();
+        std::uniform_int_distribution<duration::rep> jitter{longest / 4, longest};
+        direct_at_ = now + duration{jitter(random_)};
+    }
+    else if (!direct_ && !stale(now)) {
+        direct_at_.reset();
+    }
+    direct_ = direct_ || (direct_at_ && now >= *direct_at_);
+    const bool wanted = !ready_ || relay() || direct_;
+    if (wanted == following_) {
+        return;
+    }
+    following_ = wanted;
+    if (following_) {
+        out.emplace_back(start_following{fold_.next_offset()});
+    }
+    else {
+        out.emplace_back(stop_following{});
+    }
+}
+
+void config_follower::decide_readiness(time_point now)
+{
+    const bool log_away =
+        log_failed_ || (!log_heard_at_ && now - started_at_ > settings_.log_grace);
+    if (ready_ || !log_away || fold_.seeking_snapshot()) {
+        return;
+    }
+    std::size_t vouching = 0;
+    for (const auto& [vm, peer] : peers_) {
+        if (!peer.ready || now - peer.heard_at > vouch_lifetime) {
+            continue;
+        }
+        if (peer.next > fold_.folded_through()) {
+            return;
+        }
+        ++vouching;
+    }
+    const auto needed = std::min(vouching_peers, std::max<std::size_t>(1, listed_));
+    ready_ = vouching >= needed;
+}
+
+config_readiness config_follower::readiness() const
+{
+    if (ready_) {
+        return {true, {}};
+    }
+    if (fold_.seeking_snapshot()) {
+        return {false, "The log's first records have expired and no snapshot has been found yet."};
+    }
+    if (!log_failed_) {
+        return {false, "The configuration has not been read up to the log's head yet."};
+    }
+    if (members_.empty()) {
+        return {false, "The log is unavailable and there is no peer to confirm the configuration."};
+    }
+    return {false, "The log is unavailable and too few peers have confirmed the configuration."};
+}
+
+} // namespace wagtailhitch
--- a/src/config/follow.hpp
+++ b/src/config/follow.hpp
@@ -128,10 +128,50 @@
     [[nodiscard]] bool relay() const;
 
 private:
+    struct peer_view {
+        log_offset next{0};
+        bool ready{false};
+        time_point heard_at;
+    };
+
+    void apply(const std::vector<log_record>& records, std::vector<log_record>& fresh,
+               outputs& out);
+    void report(std::vector<config_output> events, outputs& out);
+    void remember(const log_record& record);
+    void forget_cache();
+    void push(const std::vector<log_record>& fresh, time_point now, outputs& out) const;
+    void confirm(time_point at, time_point now);
+    void accept_answer(const vm_id& peer, const records_message& message, time_point now);
+    [[nodiscard]] records_message answer_from(log_offset from, time_point now) const;
+    [[nodiscard]] bool recent_mark(std::uint64_t mark, time_point now) const;
+    void ask(const vm_id& peer, time_point now, outputs& out);
+    void ask_peers(time_point now, outputs& out);
+    void decide_following(time_point now, outputs& out);
+    void decide_readiness(time_point now);
+    [[nodiscard]] bool stale(time_point now) const;
+    [[nodiscard]] std::vector<vm_id> ask_order(time_point now);
+
     follow_settings settings_;
     config_fold fold_;
-    bool following_{false};
+    std::mt19937_64 random_;
+    time_point started_at_;
+    std::vector<domain_member> members_;
+    std::vector<vm_id> relays_; ///< of the domain, best first; may contain this VM
+    std::size_t listed_{0};
+    std::map<vm_id, peer_view> peers_;
+    std::deque<log_record> cache_;
+    std::size_t cache_bytes_{0};
     std::optional<time_point> confirmed_at_;
+    std::optional<time_point> confirmed_by_peer_at_; ///< when such a confirmation arrived
+    std::optional<time_point> log_heard_at_;
+    bool log_failed_{false};
+    bool ready_{false};
+    bool following_{false};
+    bool direct_{false}; ///< reads the log because the relays do not deliver
+    std::optional<time_point> direct_at_;
+    std::optional<time_point> asked_at_;
+    std::size_t next_relay_{0};
+    std::deque<std::uint64_t> marks_;
 };
 
 } // namespace wagtailhitch
