--- /dev/null
+++ b/src/rollout/evidence.cpp
@@ -0,0 +1,129 @@
+#include "rollout/evidence.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <sstream>
+
+namespace wagtailhitch {
+
+namespace {
+
+constexpr double signals = 3;
+// One-sided 99.9 % confidence for the baseline's rate.
+constexpr double baseline_z = 3.09;
+constexpr double highest_rate = 0.99;
+// Fewer answers than this say nothing about the share that is rated.
+constexpr std::uint64_t answers_for_coverage = 100;
+
+/// Upper bound of the Wilson interval for `bad` of `n`.
+double upper_rate(double bad, double n)
+{
+    const double z2 = baseline_z * baseline_z;
+    const double p = bad / n;
+    const double centre = p + z2 / (2 * n);
+    const double spread = baseline_z * std::sqrt(p * (1 - p) / n + z2 / (4 * n * n));
+    return std::min(highest_rate, (centre + spread) / (1 + z2 / n));
+}
+
+struct signal {
+    const char* name;
+    double bad;
+    double n;
+    double assumed; ///< the baseline's rate
+};
+
+/// Logarithm of the likelihood ratio of "worse" against "as the baseline". Counts may be
+/// fractional: by convexity the ratio stays a supermartingale for values between 0 and 1.
+double log_likelihood_ratio(const signal& s, const evidence_settings& settings)
+{
+    const double worse =
+        std::min(highest_rate + (1 - highest_rate) / 2,
+                 std::max(s.assumed * settings.worse_factor, s.assumed + settings.worse_by));
+    return s.bad * std::log(worse / s.assumed) +
+           (s.n - s.bad) * std::log((1 - worse) / (1 - s.assumed));
+}
+
+std::string describe(const signal& s)
+{
+    std::ostringstream out;
+    out.precision(3);
+    out << "Of " << s.n << " answers, " << s.bad << " count as " << s.name << ", the baseline has "
+        << "at most " << s.assumed << " of one.";
+    return out.str();
+}
+
+} // namespace
+
+outcome_counts& outcome_counts::operator+=(const outcome_counts& other)
+{
+    answers += other.answers;
+    errors += other.errors;
+    slow += other.slow;
+    ratings += other.ratings;
+    insufficient += other.insufficient;
+    return *this;
+}
+
+void evidence_pool::set(const process_id& from, const version_id& version,
+                        const outcome_counts& counts)
+{
+    auto& latest = counts_[version][from];
+    latest.answers = std::max(latest.answers, counts.answers);
+    latest.errors = std::max(latest.errors, counts.errors);
+    latest.slow = std::max(latest.slow, counts.slow);
+    latest.insufficient =
+        counts.ratings >= latest.ratings ? counts.insufficient : latest.insufficient;
+    latest.ratings = std::max(latest.ratings, counts.ratings);
+}
+
+outcome_counts evidence_pool::total(const version_id& version) const
+{
+    outcome_counts out;
+    const auto it = counts_.find(version);
+    if (it != counts_.end()) {
+        for (const auto& [process, counts] : it->second) {
+            out += counts;
+        }
+    }
+    return out;
+}
+
+evidence_verdict judge_evidence(const outcome_counts& fresh, const outcome_counts& baseline,
+                                double declared_quality, const evidence_settings& settings)
+{
+    const auto n = static_cast<double>(fresh.answers);
+    const auto base = static_cast<double>(baseline.answers);
+    const auto prior = settings.prior_ratings;
+    const std::array<signal, 3> all{
+        signal{"insufficient", fresh.insufficient, static_cast<double>(fresh.ratings),
+               upper_rate(baseline.insufficient + (1 - declared_quality) * prior,
+                          static_cast<double>(baseline.ratings) + prior)},
+        signal{"errors", static_cast<double>(fresh.errors), n,
+               upper_rate(static_cast<double>(baseline.errors) + settings.prior_errors * prior,
+                          base + prior)},
+        signal{"slow", static_cast<double>(fresh.slow), n,
+               upper_rate(static_cast<double>(baseline.slow) + settings.prior_slow * prior,
+                          base + prior)},
+    };
+    const double threshold = std::log(signals / settings.false_alarm_rate);
+    for (const auto& s : all) {
+        if (log_likelihood_ratio(s, settings) >= threshold) {
+            return {true, describe(s)};
+        }
+    }
+    return {};
+}
+
+bool ratings_missing(const outcome_counts& fresh, const outcome_counts& baseline)
+{
+    if (fresh.answers < answers_for_coverage || baseline.answers < answers_for_coverage) {
+        return false;
+    }
+    const auto share = [](const outcome_counts& c) {
+        return static_cast<double>(c.ratings) / static_cast<double>(c.answers);
+    };
+    return share(fresh) < share(baseline) / 2;
+}
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/rollout/stepper.cpp
@@ -0,0 +1,168 @@
+#include "rollout/stepper.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace wagtailhitch {
+
+namespace {
+
+struct domain_load {
+    std::uint32_t replicas{0};
+    std::uint32_t holding{0}; ///< or loading
+
+    [[nodiscard]] std::uint32_t needed(std::uint32_t share) const
+    {
+        return (replicas * share + full_share - 1) / full_share;
+    }
+};
+
+std::map<failure_domain_id, domain_load> by_domain(const std::vector<load_candidate>& candidates,
+                                                   bool count_loading)
+{
+    std::map<failure_domain_id, domain_load> out;
+    for (const auto& c : candidates) {
+        auto& domain = out[c.failure_domain];
+        ++domain.replicas;
+        domain.holding += c.holds || (count_loading && c.loading) ? 1 : 0;
+    }
+    return out;
+}
+
+} // namespace
+
+rollout_stepper::rollout_stepper(vm_id self, evidence_settings settings, duration repeat_after)
+    : self_{std::move(self)}, settings_{settings}, repeat_after_{repeat_after}
+{
+}
+
+rollout_stepper::stage_entry& rollout_stepper::entry_of(const rollout_facts& facts, time_point now)
+{
+    auto [it, fresh] = entries_.try_emplace(facts.version);
+    auto& entry = it->second;
+    // A successor counts the stage's time and ratings anew: it cannot know how long its
+    // predecessor's step has been in force.
+    if (fresh || entry.step != facts.progress.step) {
+        entry = {facts.progress.step, now, facts.fresh.ratings, std::nullopt};
+    }
+    return entry;
+}
+
+std::string rollout_stepper::waiting_for(const rollout_facts& facts, time_point now) const
+{
+    const auto step = facts.progress.step;
+    const auto it = entries_.find(facts.version);
+    if (facts.progress.halted) {
+        return "The roll-out is halted: " + facts.progress.halt_reason;
+    }
+    if (step >= facts.spec.rollout.size()) {
+        return "The last stage is in force; the version can be declared settled.";
+    }
+    if (!facts.capacity_ready) {
+        return "Too few replicas hold the version for the next stage.";
+    }
+    if (step == 0 || it == entries_.end()) {
+        return {};
+    }
+    const auto& gate = facts.spec.rollout[step - 1];
+    if (now - it->second.entered_at < gate.minimum_time) {
+        return "The stage's minimum time has not passed.";
+    }
+    if (facts.fresh.ratings - it->second.ratings < gate.minimum_ratings) {
+        return "The stage's minimum number of ratings has not arrived.";
+    }
+    if (ratings_missing(facts.fresh, facts.baseline)) {
+        return "Fewer answers are rated than of the baseline.";
+    }
+    return {};
+}
+
+std::optional<rollout_record> rollout_stepper::decide(const rollout_facts& facts, time_point now)
+{
+    if (facts.spec.state != version_state::rolling || facts.progress.halted) {
+        return std::nullopt;
+    }
+    auto& entry = entry_of(facts, now);
+    if (entry.sent_at && now - *entry.sent_at < repeat_after_) {
+        return std::nullopt;
+    }
+    const auto judged =
+        judge_evidence(facts.fresh, facts.baseline, facts.declared_quality, settings_);
+    if (judged.halt) {
+        entry.sent_at = now;
+        return rollout_record{
+            rollout_record_kind::halt, facts.version, facts.progress.step, 0, judged.reason, self_};
+    }
+    if (!facts.fencing || !waiting_for(facts, now).empty()) {
+        return std::nullopt;
+    }
+    entry.sent_at = now;
+    return rollout_record{rollout_record_kind::step,
+                          facts.version,
+                          facts.progress.step + 1,
+                          *facts.fencing,
+                          {},
+                          self_};
+}
+
+std::map<std::string, std::uint32_t> class_shares(std::vector<exposure_class> classes,
+                                                  std::uint32_t share)
+{
+    std::ranges::sort(classes, {}, [](const exposure_class& c) {
+        return std::tuple{static_cast<double>(c.rating_delay.count()) * (1 + c.error_cost),
+                          c.error_cost, c.name};
+    });
+    std::map<std::string, std::uint32_t> out;
+    double left = static_cast<double>(share) / full_share;
+    for (const auto& c : classes) {
+        const double taken = std::clamp(c.traffic > 0 ? left / c.traffic : 0, 0.0, 1.0);
+        out[c.name] =
+            share >= full_share ? full_share : static_cast<std::uint32_t>(taken * full_share);
+        left -= taken * c.traffic;
+    }
+    return out;
+}
+
+bool covers(const std::vector<load_candidate>& candidates, std::uint32_t share)
+{
+    const auto domains = by_domain(candidates, false);
+    return !domains.empty() && std::ranges::all_of(domains, [share](const auto& entry) {
+        return entry.second.holding >= entry.second.needed(share);
+    });
+}
+
+load_planner::load_planner(duration interval, std::size_t open) : interval_{interval}, open_{open}
+{
+}
+
+std::optional<upstream_id> load_planner::next(const std::vector<load_candidate>& candidates,
+                                              std::uint32_t share, time_point now)
+{
+    const auto loading = std::ranges::count_if(
+        candidates, [](const load_candidate& c) { return c.loading && !c.holds; });
+    const bool too_soon = ordered_at_ && now - *ordered_at_ < interval_;
+    if (too_soon || static_cast<std::size_t>(loading) >= open_) {
+        return std::nullopt;
+    }
+    const auto domains = by_domain(candidates, true);
+    const load_candidate* best = nullptr;
+    const auto rank = [&](const load_candidate& c) {
+        const auto& domain = domains.at(c.failure_domain);
+        const auto covered = static_cast<double>(domain.holding) / domain.replicas;
+        return std::tuple{covered, c.running, c.upstream};
+    };
+    for (const auto& c : candidates) {
+        const auto& domain = domains.at(c.failure_domain);
+        const bool wanted = !c.holds && !c.loading && domain.holding < domain.needed(share);
+        if (wanted && (best == nullptr || rank(c) < rank(*best))) {
+            best = &c;
+        }
+    }
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    ordered_at_ = now;
+    return best->upstream;
+}
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/rollout/stepper_test.cpp
@@ -0,0 +1,215 @@
+#include "rollout/stepper.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <random>
+
+namespace wagtailhitch {
+namespace {
+
+using testing::HasSubstr;
+
+const version_id version{"narrator-4"};
+
+outcome_counts counts(std::uint64_t answers, std::uint64_t errors, std::uint64_t slow,
+                      std::uint64_t ratings, double insufficient)
+{
+    return {answers, errors, slow, ratings, insufficient};
+}
+
+rollout_facts facts_at(std::uint32_t step)
+{
+    rollout_facts out;
+    out.version = version;
+    out.spec.state = version_state::rolling;
+    out.spec.rollout = {{100, 10, 60s}, {2500, 100, 60s}, {10000, 0, 0s}};
+    out.progress.step = step;
+    out.declared_quality = 0.9;
+    out.baseline = counts(2000, 10, 50, 1000, 100);
+    out.capacity_ready = true;
+    out.fencing = 7;
+    return out;
+}
+
+class rollout_stepper_test : public testing::Test {
+protected:
+    std::optional<rollout_record> decide(const rollout_facts& facts)
+    {
+        return stepper_.decide(facts, clock_.now());
+    }
+
+    manual_clock clock_;
+    rollout_stepper stepper_{vm_id{"a-1"}};
+};
+
+struct evidence_case {
+    std::string name;
+    outcome_counts fresh;
+    bool halt;
+};
+
+// Guards against a bad version going on, and against a good one being halted by one bad answer.
+TEST_F(rollout_stepper_test, evidence_halts_only_versions_that_are_worse)
+{
+    const std::vector<evidence_case> cases{
+        {"nothing", {}, false},
+        {"one bad rating", counts(1, 0, 0, 1, 1), false},
+        {"as the baseline", counts(2000, 10, 50, 1000, 100), false},
+        {"slightly worse", counts(2000, 20, 80, 1000, 120), false},
+        {"bad ratings", counts(200, 0, 0, 100, 40), true},
+        {"errors", counts(100, 30, 0, 0, 0), true},
+        {"slow", counts(200, 0, 80, 0, 0), true},
+        {"only errors at once", counts(5, 5, 0, 0, 0), true},
+    };
+    const auto facts = facts_at(1);
+    for (const auto& c : cases) {
+        const auto judged = judge_evidence(c.fresh, facts.baseline, facts.declared_quality, {});
+        EXPECT_EQ(judged.halt, c.halt) << c.name << ": " << judged.reason;
+    }
+}
+
+// Guards against a step before its gate, and a step without authority or capacity.
+TEST_F(rollout_stepper_test, each_gate_holds_the_step_back)
+{
+    auto facts = facts_at(1);
+    EXPECT_FALSE(decide(facts));
+    EXPECT_THAT(stepper_.waiting_for(facts, clock_.now()), HasSubstr("minimum time"));
+    clock_.advance(60s);
+    EXPECT_FALSE(decide(facts));
+    EXPECT_THAT(stepper_.waiting_for(facts, clock_.now()), HasSubstr("number of ratings"));
+    facts.fresh = counts(1000, 0, 0, 10, 1);
+    EXPECT_FALSE(decide(facts));
+    EXPECT_THAT(stepper_.waiting_for(facts, clock_.now()), HasSubstr("Fewer answers are rated"));
+    facts.fresh = counts(20, 0, 0, 10, 1);
+    facts.capacity_ready = false;
+    EXPECT_FALSE(decide(facts));
+    EXPECT_THAT(stepper_.waiting_for(facts, clock_.now()), HasSubstr("replicas"));
+    facts.capacity_ready = true;
+    facts.fencing.reset();
+    EXPECT_FALSE(decide(facts));
+    facts.fencing = 9;
+    const auto record = decide(facts);
+    ASSERT_TRUE(record);
+    EXPECT_EQ(record->kind, rollout_record_kind::step);
+    EXPECT_EQ(record->step, 2U);
+    EXPECT_EQ(record->fencing, 9U);
+}
+
+// Guards against a lost append stopping the roll-out for good.
+TEST_F(rollout_stepper_test, record_is_repeated_until_the_fold_shows_it)
+{
+    const auto facts = facts_at(0);
+    EXPECT_TRUE(decide(facts));
+    EXPECT_FALSE(decide(facts));
+    clock_.advance(5s);
+    EXPECT_TRUE(decide(facts));
+}
+
+// Guards against a halt that needs the holder of the lease.
+TEST_F(rollout_stepper_test, vm_without_authority_halts_a_bad_version)
+{
+    auto facts = facts_at(2);
+    facts.fencing.reset();
+    facts.fresh = counts(100, 30, 0, 0, 0);
+    const auto record = decide(facts);
+    ASSERT_TRUE(record);
+    EXPECT_EQ(record->kind, rollout_record_kind::halt);
+    EXPECT_THAT(record->reason, HasSubstr("errors"));
+    facts.progress.halted = true;
+    clock_.advance(60s);
+    EXPECT_FALSE(decide(facts));
+}
+
+// Guards against counts that shrink or count twice when reports arrive late.
+TEST_F(rollout_stepper_test, pool_keeps_the_latest_counts_of_each_process)
+{
+    evidence_pool pool;
+    const process_id a{vm_id{"a"}, 1};
+    pool.set(a, version, counts(10, 1, 0, 4, 2));
+    pool.set(a, version, counts(8, 1, 0, 3, 1));
+    pool.set({vm_id{"a"}, 2}, version, counts(5, 0, 0, 1, 0));
+    EXPECT_EQ(pool.total(version), counts(15, 1, 0, 5, 2));
+    EXPECT_EQ(pool.total(version_id{"other"}), outcome_counts{});
+}
+
+TEST_F(rollout_stepper_test, cheap_and_quickly_rated_classes_are_exposed_first)
+{
+    const std::vector<exposure_class> classes{
+        {"report", 0.2, 1h, 5}, {"brief", 0.5, 1min, 0}, {"question", 0.3, 10min, 1}};
+    using shares = std::map<std::string, std::uint32_t>;
+    EXPECT_EQ(class_shares(classes, 2500),
+              (shares{{"brief", 5000}, {"question", 0}, {"report", 0}}));
+    EXPECT_EQ(class_shares(classes, 6500),
+              (shares{{"brief", 10000}, {"question", 5000}, {"report", 0}}));
+    EXPECT_EQ(class_shares(classes, 10000),
+              (shares{{"brief", 10000}, {"question", 10000}, {"report", 10000}}));
+}
+
+// Guards against loads that overrun the weight store or leave a domain without the version.
+TEST_F(rollout_stepper_test, loads_spread_over_domains_within_the_rate)
+{
+    std::vector<load_candidate> replicas;
+    for (const std::string name : {"a-1", "a-2", "a-3", "b-1", "b-2"}) {
+        replicas.push_back({upstream_id{name}, failure_domain_id{name.substr(0, 1)}});
+    }
+    replicas[0].running = 4;
+    load_planner planner{2s, 2};
+    EXPECT_FALSE(covers(replicas, 100));
+    EXPECT_EQ(planner.next(replicas, 5000, clock_.now()), upstream_id{"a-2"});
+    EXPECT_FALSE(planner.next(replicas, 5000, clock_.now()));
+    replicas[1].loading = true;
+    clock_.advance(2s);
+    EXPECT_EQ(planner.next(replicas, 5000, clock_.now()), upstream_id{"b-1"});
+    replicas[3].loading = true;
+    clock_.advance(2s);
+    EXPECT_FALSE(planner.next(replicas, 5000, clock_.now()));
+    replicas[1].holds = true;
+    replicas[3].holds = true;
+    EXPECT_TRUE(covers(replicas, 3000));
+    EXPECT_FALSE(covers(replicas, 5000));
+    EXPECT_EQ(planner.next(replicas, 5000, clock_.now()), upstream_id{"a-3"});
+}
+
+// Guards against any order of evidence, steps and takeovers that exposes a halted version again.
+RC_GTEST_FIXTURE_PROP(rollout_stepper_test, no_history_raises_the_share_after_a_halt,
+                      (std::uint64_t seed))
+{
+    std::mt19937_64 random{seed};
+    rollout_fold fold;
+    std::vector<rollout_stepper> vms;
+    for (const auto* name : {"a", "b", "c"}) {
+        vms.emplace_back(vm_id{name});
+    }
+    auto facts = facts_at(0);
+    std::vector<std::string> in_flight;
+    log_offset offset = 0;
+    bool halted = false;
+    for (int i = 0; i < 200; ++i) {
+        clock_.advance(std::chrono::seconds{random() % 90});
+        const auto n = random() % 40;
+        const auto bad_share = random() % 3 == 0 ? 0.4 : 0.1;
+        facts.fresh += counts(n, 0, 0, n, bad_share * static_cast<double>(n));
+        const auto* progress = fold.find(version);
+        facts.progress = progress == nullptr ? rollout_progress{} : *progress;
+        // Two VMs may both believe for a while that they hold the lease.
+        facts.fencing = random() % 4 == 0 ? std::nullopt : std::optional{random() % 5};
+        if (auto record = vms[random() % vms.size()].decide(facts, clock_.now())) {
+            in_flight.push_back(encode_rollout_record(*record));
+        }
+        std::ranges::shuffle(in_flight, random);
+        while (!in_flight.empty() && random() % 2 == 0) {
+            const auto before = fold.exposed_basis_points(version, facts.spec);
+            fold.apply(offset++, in_flight.back());
+            in_flight.pop_back();
+            halted = halted || fold.find(version)->halted;
+            const auto after = fold.exposed_basis_points(version, facts.spec);
+            const bool sound = halted ? after == 0 : after >= before;
+            RC_ASSERT(sound);
+        }
+    }
+}
+
+} // namespace
+} // namespace wagtailhitch
