--- a/src/config/follow.cpp
+++ b/src/config/follow.cpp
@@ -116,8 +116,8 @@
     decide_following(now, out);
 }
 
-void config_follower::apply(const std::vector<log_record>& records,
-                            std::vector<log_record>& fresh, outputs& out)
+void config_follower::apply(const std::vector<log_record>& records, std::vector<log_record>& fresh,
+                            outputs& out)
 {
     for (const auto& record : records) {
         const auto before = fold_.folded_through();
@@ -174,8 +174,7 @@
     return out;
 }
 
-void config_follower::push(const std::vector<log_record>& fresh, time_point now,
-                           outputs& out) const
+void config_follower::push(const std::vector<log_record>& fresh, time_point now, outputs& out) const
 {
     if (fresh.empty()) {
         return;
@@ -279,8 +278,7 @@
     if (marks_.size() > open_marks) {
         marks_.pop_front();
     }
-    out.emplace_back(
-        send_request{peer, {fold_.folded_through(), fold_.seeking_snapshot(), mark}});
+    out.emplace_back(send_request{peer, {fold_.folded_through(), fold_.seeking_snapshot(), mark}});
 }
 
 std::vector<vm_id> config_follower::ask_order(time_point now)
@@ -293,8 +291,8 @@
         }
     }
     if (!out.empty()) {
-        std::ranges::rotate(out, out.begin() + static_cast<std::ptrdiff_t>(
-                                                   next_relay_++ % out.size()));
+        std::ranges::rotate(out,
+                            out.begin() + static_cast<std::ptrdiff_t>(next_relay_++ % out.size()));
     }
     // Relays read the log; they need no peer while it confirms them. A VM that has no fresh state
     // asks any other VM as well, also in other domains.
@@ -341,8 +339,10 @@
         direct_at_.reset();
     }
     else if (!direct_ && stale(now) && !direct_at_) {
-        // The jitter keeps a domain whose relays died from reading the log all at once.
-        std::uniform_int_distribution<duration::rep> jitter{0, settings_.max_log_jitter.count()};
+        // The jitter keeps a domain whose relays died from reading the log all at once, and leaves
+        // the peers asked at the same time a moment to answer.
+        const auto longest = settings_.max_log_jitter.count();
+        std::uniform_int_distribution<duration::rep> jitter{longest / 4, longest};
         direct_at_ = now + duration{jitter(random_)};
     }
     else if (!direct_ && !stale(now)) {
@@ -364,7 +364,8 @@
 
 void config_follower::decide_readiness(time_point now)
 {
-    const bool log_away = log_failed_ || (!log_heard_at_ && now - started_at_ > settings_.log_grace);
+    const bool log_away =
+        log_failed_ || (!log_heard_at_ && now - started_at_ > settings_.log_grace);
     if (ready_ || !log_away || fold_.seeking_snapshot()) {
         return;
     }
