Compare routing and cascade policies on a queue model; keep spare time in the queue

Cause: the defaults had no measurement behind them, and at twice the load of one large pool the admission queue settled where many admitted requests just missed their deadlines.

--- /dev/null
+++ b/bench/routing/simulation.cpp
@@ -0,0 +1,475 @@
+#include "routing/simulation.hpp"
+
+#include "limits/admission_queue.hpp"
+#include "retry/retry_policy.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+
+namespace wagtailhitch::bench {
+
+namespace {
+
+constexpr duration report_interval = 1s;
+constexpr duration domain_report_lag = 300ms;
+constexpr duration other_report_lag = 2s; // summaries between domains
+constexpr duration cache_event_lag = 1s;
+constexpr double cache_gap_share = 0.03;
+constexpr duration remote_latency = 30ms;
+constexpr duration warm_up = 10s;
+constexpr double bytes_per_token = 4;
+constexpr double link_bytes_per_second = 30e6 / 8;
+constexpr double link_cost_per_mb = 0.02;
+
+// Requests that all VMs together keep at the engines, over their slots.
+constexpr double concurrency_factor = 1.25;
+
+struct live_request {
+    std::uint64_t token{0};
+    const request_type* type{nullptr};
+    const std::vector<std::uint64_t>* prefix{nullptr};
+    double answer_tokens{0};
+    time_point arrived;
+    std::uint32_t retries{0};
+    std::vector<replica_index> tried;
+    queue_entry queued;
+    bool counted{false}; ///< arrived after the warm-up
+};
+using request_ptr = std::shared_ptr<live_request>;
+
+struct world {
+    world(const deployment& where, const scenario& what)
+        : generator{what.seed}, place{where}, plan{what}
+    {
+    }
+
+    scheduler events;
+    std::mt19937_64 generator;
+    const deployment& place;
+    const scenario& plan;
+    std::vector<std::unique_ptr<engine_model>> engines;
+    std::vector<version_id> versions;
+    run_result result;
+};
+
+double draw_exponential(std::mt19937_64& generator, double mean)
+{
+    return std::exponential_distribution<double>{1 / mean}(generator);
+}
+
+duration from_seconds(double value)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(value));
+}
+
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+class vm_model {
+public:
+    vm_model(world& all, const std::string& domain)
+        : world_{all}, region_{region_of(all.place, domain)}, generator_{all.generator()},
+          pool_{{.failure_domain = failure_domain_id{domain}, .region = region_id{region_}}},
+          chooser_{all.plan.chooser}, prefixes_{1U << 14U},
+          link_{{.bytes_per_second =
+                     link_bytes_per_second / static_cast<double>(all.place.vm_domains.size())},
+                all.events.now()},
+          budget_{retry_.settings(), all.events.now()}
+    {
+        const time_point now = all.events.now();
+        std::map<upstream_id, upstream_spec> upstreams;
+        for (std::size_t i = 0; i < all.engines.size(); ++i) {
+            upstreams[id_of(i)] = spec_of(all.engines[i]->spec());
+        }
+        pool_.configure(upstreams, now);
+        for (const auto& [id, spec] : upstreams) {
+            pool_.set_health(id, replica_health::usable, 1, now);
+        }
+        build_queues();
+    }
+
+    void arrive(const request_ptr& request)
+    {
+        const time_point now = world_.events.now();
+        budget_.count_request(now);
+        world_.result.offered += request->counted ? 1 : 0;
+        admission_queue& queue = queues_[request->type->model];
+        const model_cost& model = world_.place.models[request->type->model];
+        request->queued = {
+            request->token, team_id{"t"}, request->type->kind,
+            request->arrived + request->type->deadline,
+            from_seconds(0.15 + request->type->answer_tokens / model.tokens_per_second)};
+        if (!world_.plan.admission) {
+            dispatch(request);
+            return;
+        }
+        const auto admitted = queue.offer(request->queued, now);
+        if (!admitted) {
+            refuse(request, std::string{name_of(admitted.error().code)});
+            return;
+        }
+        waiting_[request->token] = request;
+        pump(request->type->model);
+    }
+    void report(std::size_t engine, load_report load)
+    {
+        pool_.report_load(id_of(engine), load, world_.events.now());
+    }
+    void cache_events(std::size_t engine, bool gap, const std::vector<std::uint64_t>& stored,
+                      const std::vector<std::uint64_t>& evicted)
+    {
+        const replica_index replica = *pool_.find(id_of(engine));
+        if (gap) {
+            prefixes_.gap(replica);
+            return;
+        }
+        prefixes_.evicted(replica, evicted);
+        prefixes_.stored(replica, stored);
+    }
+    void tick()
+    {
+        for (std::size_t i = 0; i < queues_.size(); ++i) {
+            for (const auto& entry : queues_[i].expire(world_.events.now())) {
+                refuse(waiting_.at(entry.token), "deadline_passed");
+                waiting_.erase(entry.token);
+            }
+            pump(i);
+        }
+    }
+    void share_with(std::vector<std::unique_ptr<vm_model>>& vms)
+    {
+        for (const auto& share : pool_.take_shares()) {
+            for (const auto& vm : vms) {
+                if (vm.get() != this && vm->region_ == region_) {
+                    vm->pool_.merge_share(share, world_.events.now());
+                }
+            }
+        }
+    }
+    duration report_lag(std::size_t engine) const
+    {
+        const replica_index replica = *pool_.find(id_of(engine));
+        return pool_.view(replica).distance == locality::domain ? domain_report_lag
+                                                                : other_report_lag;
+    }
+
+private:
+    static upstream_id id_of(std::size_t engine)
+    {
+        return upstream_id{"engine-" + std::to_string(engine)};
+    }
+    upstream_spec spec_of(const engine_spec& engine) const
+    {
+        upstream_spec spec;
+        spec.address = engine.name;
+        spec.failure_domain = failure_domain_id{engine.domain};
+        spec.region = region_id{engine.region};
+        spec.slots = engine.slots;
+        spec.speed = engine.speed;
+        for (const std::size_t model : engine.models) {
+            spec.versions.push_back(world_.versions[model]);
+        }
+        return spec;
+    }
+    // An engine's slots are divided evenly among its models, and among the VMs of the region.
+    void build_queues()
+    {
+        const auto vms = std::ranges::count_if(world_.place.vm_domains, [&](const auto& domain) {
+            return region_of(world_.place, domain) == region_;
+        });
+        for (std::size_t model = 0; model < world_.place.models.size(); ++model) {
+            double slots = 0;
+            for (const auto& engine : world_.place.engines) {
+                const bool holds = std::ranges::find(engine.models, model) != engine.models.end();
+                const auto parts = static_cast<double>(engine.models.size());
+                slots += holds && engine.region == region_ ? engine.slots / parts : 0;
+            }
+            const double places = std::ceil(slots * concurrency_factor / static_cast<double>(vms));
+            queues_.emplace_back(
+                queue_settings{.capacity = 200,
+                               .concurrency = std::max(1U, static_cast<std::uint32_t>(places)),
+                               .team_capacity_share = 1});
+        }
+    }
+    void pump(std::size_t model)
+    {
+        while (const auto entry = queues_[model].next(world_.events.now())) {
+            const request_ptr request = waiting_.at(entry->token);
+            request->queued = *entry;
+            waiting_.erase(entry->token);
+            dispatch(request);
+        }
+    }
+    void refuse(const request_ptr& request, const std::string& reason)
+    {
+        if (request->counted) {
+            world_.result.refused[reason] += 1;
+        }
+    }
+    void release(const request_ptr& request, duration service)
+    {
+        if (world_.plan.admission) {
+            queues_[request->type->model].finished(request->queued, service);
+            pump(request->type->model);
+        }
+    }
+    void dispatch(const request_ptr& request)
+    {
+        const time_point now = world_.events.now();
+        const request_type& type = *request->type;
+        choice_request wanted;
+        wanted.version = &world_.versions[type.model];
+        wanted.excluded = request->tried;
+        wanted.prompt_tokens = static_cast<std::uint32_t>(type.prompt_tokens);
+        wanted.request_bytes = type.prompt_tokens * bytes_per_token;
+        wanted.answer_bytes = type.answer_tokens * bytes_per_token;
+        wanted.cost_per_1k_input = world_.place.models[type.model].per_1k_input;
+        if (world_.plan.affinity) {
+            wanted.prefix_hashes = *request->prefix;
+        }
+        const auto made = chooser_.choose(pool_, prefixes_, link_, wanted, now, generator_);
+        if (!made) {
+            refuse(request, std::string{name_of(made.error().code)});
+            world_.events.after(1ms, [this, request] { release(request, 1ms); });
+            return;
+        }
+        link_.spend(made->link_bytes, now);
+        if (request->counted) {
+            world_.result.link_bytes += made->link_bytes;
+            world_.result.cost += made->link_bytes / 1e6 * link_cost_per_mb;
+        }
+        send(request, *made, pool_.begin(made->replica, now));
+    }
+    void send(const request_ptr& request, const choice& made, dispatch_ticket ticket)
+    {
+        const duration way = made.distance == locality::remote   ? remote_latency
+                             : made.distance == locality::region ? world_.place.region_latency
+                                                                 : 500us;
+        const time_point sent = world_.events.now();
+        const auto first = std::make_shared<duration>();
+        engine_job job;
+        job.prefix = request->prefix;
+        job.prompt_tokens = request->type->prompt_tokens;
+        job.answer_tokens = request->answer_tokens;
+        job.tokens_per_second = world_.place.models[request->type->model].tokens_per_second;
+        job.on_first_token = [this, request, first, sent, way](double cached) {
+            *first = world_.events.now() + way - sent;
+            charge(*request, cached);
+        };
+        job.on_end = [this, request, first, sent, way, made, ticket] {
+            world_.events.after(way, [this, request, first, sent, made, ticket] {
+                const duration total = world_.events.now() - sent;
+                (void)pool_.finish(ticket,
+                                   {attempt_result::succeeded, *first, total, made.predicted},
+                                   world_.events.now());
+                answered(*request, sent + *first);
+                release(request, total);
+            });
+        };
+        job.on_failure = [this, request, sent, way, made, ticket] {
+            world_.events.after(way, [this, request, sent, made, ticket] {
+                const duration total = world_.events.now() - sent;
+                (void)pool_.finish(ticket, {attempt_result::failed, total, total, made.predicted},
+                                   world_.events.now());
+                fail(request, made.replica);
+            });
+        };
+        engine_model* engine = world_.engines[engine_of(made.replica)].get();
+        world_.events.after(way, [engine, job = std::move(job)] { engine->submit(job); });
+    }
+    std::size_t engine_of(replica_index replica) const
+    {
+        return std::stoul(pool_.view(replica).id.value.substr(7));
+    }
+    void charge(const live_request& request, double cached)
+    {
+        const model_cost& model = world_.place.models[request.type->model];
+        const double input = request.type->prompt_tokens - cached;
+        world_.result.cost += request.counted
+                                  ? input / 1000 * model.per_1k_input +
+                                        request.answer_tokens / 1000 * model.per_1k_output
+                                  : 0;
+        world_.result.cached_tokens += request.counted ? cached : 0;
+    }
+    void answered(const live_request& request, time_point first)
+    {
+        if (!request.counted) {
+            return;
+        }
+        const duration total = world_.events.now() - request.arrived;
+        world_.result.answered += 1;
+        const bool in_time = total <= request.type->deadline;
+        world_.result.in_time += in_time ? 1 : 0;
+        world_.result.tokens_in_time += in_time ? request.answer_tokens : 0;
+        world_.result.first_token.push_back(seconds(first - request.arrived));
+        world_.result.total.push_back(seconds(total));
+    }
+    void fail(const request_ptr& request, replica_index replica)
+    {
+        const time_point now = world_.events.now();
+        failed_attempt failure;
+        failure.code = error_code::upstream_failed;
+        failure.idempotent = true;
+        failure.retries = request->retries;
+        failure.deadline = request->arrived + request->type->deadline;
+        const auto decision = retry_.decide(failure, budget_, now, generator_);
+        if (decision.action == retry_action::stop) {
+            world_.result.failed += request->counted ? 1 : 0;
+            release(request, now - request->queued.offered_at);
+            return;
+        }
+        budget_.spend(now);
+        ++request->retries;
+        request->tried.push_back(replica);
+        world_.events.after(decision.wait, [this, request] { dispatch(request); });
+    }
+
+    world& world_;
+    std::string region_;
+    std::mt19937_64 generator_;
+    replica_pool pool_;
+    replica_chooser chooser_;
+    prefix_index prefixes_;
+    link_budget link_;
+    retry_policy retry_{{}};
+    retry_budget budget_;
+    std::vector<admission_queue> queues_;
+    std::map<std::uint64_t, request_ptr> waiting_;
+};
+
+class simulation {
+public:
+    simulation(const deployment& place, const scenario& plan) : world_{place, plan}
+    {
+        for (const auto& engine : place.engines) {
+            world_.engines.push_back(std::make_unique<engine_model>(world_.events, engine));
+        }
+        for (const auto& model : place.models) {
+            world_.versions.emplace_back(model.name);
+        }
+        for (const auto& domain : place.vm_domains) {
+            vms_.push_back(std::make_unique<vm_model>(world_, domain));
+        }
+        build_prefixes();
+        for (const auto& type : place.types) {
+            shares_.push_back(type.share);
+        }
+    }
+    run_result run()
+    {
+        start_ = world_.events.now();
+        end_ = start_ + world_.plan.length;
+        engine_model* faulty = world_.engines[world_.plan.faulty_engine].get();
+        world_.events.after(world_.plan.length / 4,
+                            [this, faulty] { faulty->set_fault(world_.plan.fault); });
+        world_.events.after(world_.plan.length * 3 / 4,
+                            [faulty] { faulty->set_fault(engine_fault::none); });
+        arrive();
+        observe();
+        world_.events.run_until(end_ + 60s);
+        world_.result.seconds = seconds(world_.plan.length - warm_up);
+        return std::move(world_.result);
+    }
+
+private:
+    // Each prefix is shared by the requests of one kind; it covers three quarters of the prompt.
+    void build_prefixes()
+    {
+        for (const auto& type : world_.place.types) {
+            auto& family = prefixes_.emplace_back(type.prefixes);
+            for (auto& prefix : family) {
+                prefix.resize(static_cast<std::size_t>(type.prompt_tokens * 0.75 /
+                                                       engine_model::block_tokens));
+                for (auto& block : prefix) {
+                    block = world_.generator();
+                }
+            }
+        }
+    }
+    void arrive()
+    {
+        if (world_.events.now() >= end_) {
+            return;
+        }
+        const double wait = draw_exponential(world_.generator, 1 / world_.plan.requests_per_second);
+        world_.events.after(from_seconds(wait), [this] {
+            std::discrete_distribution<std::size_t> kind{shares_.begin(), shares_.end()};
+            const std::size_t n = kind(world_.generator);
+            const auto request = std::make_shared<live_request>();
+            request->token = ++tokens_;
+            request->type = &world_.place.types[n];
+            // Squaring makes the first prefixes of a family more popular.
+            const double pick = std::uniform_real_distribution<double>{}(world_.generator);
+            request->prefix = &prefixes_[n][static_cast<std::size_t>(
+                pick * pick * static_cast<double>(prefixes_[n].size()))];
+            request->answer_tokens =
+                draw_exponential(world_.generator, request->type->answer_tokens);
+            request->arrived = world_.events.now();
+            request->counted = request->arrived >= start_ + warm_up;
+            vms_[world_.generator() % vms_.size()]->arrive(request);
+            arrive();
+        });
+    }
+    void observe()
+    {
+        if (world_.events.now() >= end_ + 30s) {
+            return;
+        }
+        for (std::size_t i = 0; i < world_.engines.size(); ++i) {
+            const load_report load{world_.engines[i]->running(), world_.engines[i]->waiting(), {}};
+            const auto [stored, evicted] = world_.engines[i]->take_cache_events();
+            const bool gap = std::bernoulli_distribution{cache_gap_share}(world_.generator);
+            for (const auto& vm : vms_) {
+                const duration lag = vm->report_lag(i);
+                world_.events.after(lag, [&vm, i, load, lag] {
+                    vm->report(i, {load.running, load.waiting, lag});
+                });
+                world_.events.after(cache_event_lag, [&vm, i, gap, stored, evicted] {
+                    vm->cache_events(i, gap, stored, evicted);
+                });
+            }
+        }
+        for (const auto& vm : vms_) {
+            vm->tick();
+            vm->share_with(vms_);
+        }
+        world_.events.after(report_interval, [this] { observe(); });
+    }
+
+    world world_;
+    std::vector<std::unique_ptr<vm_model>> vms_;
+    std::vector<std::vector<std::vector<std::uint64_t>>> prefixes_;
+    std::vector<double> shares_;
+    time_point start_;
+    time_point end_;
+    std::uint64_t tokens_{0};
+};
+
+} // namespace
+
+run_result run(const deployment& deployment, const scenario& scenario)
+{
+    return simulation{deployment, scenario}.run();
+}
+
+double capacity_of(const deployment& deployment)
+{
+    double low = 1;
+    double high = 600;
+    for (int i = 0; i < 10; ++i) {
+        const double rate = (low + high) / 2;
+        scenario plan;
+        plan.requests_per_second = rate;
+        plan.chooser.latency_weight = deployment.latency_weight;
+        plan.chooser.cost_weight = deployment.cost_weight;
+        plan.chooser.link_cost_per_mb = link_cost_per_mb;
+        const run_result result = run(deployment, plan);
+        (result.in_time >= 0.95 * result.offered ? low : high) = rate;
+    }
+    return low;
+}
+
+} // namespace wagtailhitch::bench
--- a/src/limits/admission_queue.cpp
+++ b/src/limits/admission_queue.cpp
@@ -1,7 +1,7 @@
 #include "limits/admission_queue.hpp"
 
 #include <algorithm>
-#include <limits>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -42,13 +42,16 @@
             code, step::admit, entry.team.value, run_state::not_run, detail,
             std::clamp(after, settings_.shortest_retry_after, settings_.longest_retry_after)});
     };
-    const auto team_capacity =
-        static_cast<std::size_t>(std::max(1.0, settings_.capacity * settings_.team_capacity_share));
-    if (waiting_ >= settings_.capacity || waiting_of(entry.team) >= team_capacity) {
+    if (full(entry)) {
         return refuse(error_code::queue_full, "The queue for the model's upstreams is full.", wait);
     }
     const double left = seconds(entry.deadline - now) * settings_.deadline_use;
-    const double late = seconds(wait + service_of(entry)) - left;
+    // Only a part of the spare time is kept free: a queue that refuses all who have to wait runs
+    // empty between two arrivals.
+    const double spare = std::max(0.0, left - seconds(service_of(entry)));
+    const double margin =
+        wait > duration{0} ? std::min(margin_of(entry), spare * settings_.most_spare_kept) : 0;
+    const double late = seconds(wait + service_of(entry)) + margin - left;
     if (late > 0) {
         return refuse(error_code::deadline_unreachable,
                       "The expected wait and service time exceed the deadline.",
@@ -129,10 +132,12 @@
     const duration expected = stated_service(entry);
     dispatched_ -= dispatched_ > 0 ? 1 : 0;
     dispatched_cost_ = dispatched_ == 0 ? 0 : dispatched_cost_ - seconds(expected);
-    double& correction = queue_of(entry.kind).correction;
-    const double ratio = seconds(service) / std::max(seconds(expected), 1e-3);
-    correction += (ratio - correction) * settings_.smoothing;
-    correction = std::clamp(correction, smallest_correction, largest_correction);
+    class_queue& queue = queue_of(entry.kind);
+    const double ratio = std::clamp(seconds(service) / std::max(seconds(expected), 1e-3),
+                                    smallest_correction, largest_correction);
+    const double error = ratio - queue.correction;
+    queue.correction += error * settings_.smoothing;
+    queue.variance += (error * error - queue.variance) * settings_.smoothing;
 }
 
 duration admission_queue::expected_wait(const team_id& team, request_class kind) const
@@ -157,6 +162,24 @@
                                                 : settings_.assumed_service;
 }
 
+bool admission_queue::full(const queue_entry& entry) const
+{
+    const auto part = [&](double share) {
+        return static_cast<std::size_t>(std::max(1.0, settings_.capacity * share));
+    };
+    const bool class_full = entry.kind == request_class::long_request &&
+                            queue_of(entry.kind).waiting >= part(settings_.long_capacity_share);
+    return class_full || waiting_ >= settings_.capacity ||
+           waiting_of(entry.team) >= part(settings_.team_capacity_share);
+}
+
+// Seconds by which the service time may exceed its expectation.
+double admission_queue::margin_of(const queue_entry& entry) const
+{
+    const double deviation = std::sqrt(queue_of(entry.kind).variance);
+    return seconds(stated_service(entry)) * deviation * settings_.service_deviations;
+}
+
 double admission_queue::weight_of(const team_id& team) const
 {
     constexpr double smallest_weight = 1e-3;
--- a/src/limits/admission_queue.hpp
+++ b/src/limits/admission_queue.hpp
@@ -23,6 +23,9 @@
     std::uint32_t capacity{256};     ///< waiting requests
     std::uint32_t concurrency{16};   ///< dispatched requests at a time
     double team_capacity_share{0.5}; ///< of `capacity` that one team may fill
+    /// Of `capacity` that the long class may fill; without it, long requests, whose deadlines are
+    /// far, fill the queue under overload and short ones are refused.
+    double long_capacity_share{0.5};
     /// Every nth request is taken from the long class first, so that short ones cannot starve it.
     std::uint32_t long_turn{8};
     duration assumed_service{2s}; ///< of requests that state no expected service time
@@ -32,6 +35,11 @@
     /// Part of the remaining time that the expected wait and service may use; the rest covers the
     /// error of the estimate.
     double deadline_use{0.9};
+    /// Standard deviations of the service time that are kept free for a request that has to wait.
+    /// Without them an overloaded queue settles where every admitted request just meets its
+    /// deadline on average, and many miss it.
+    double service_deviations{1.5};
+    double most_spare_kept{0.75}; ///< part of the time beyond the expected service
 };
 
 struct queue_entry {
@@ -90,10 +98,13 @@
         double virtual_time{0};
         double queued_cost{0};
         std::size_t waiting{0};
-        double correction{1}; ///< actual over expected service time
+        double correction{1}; ///< mean of actual over expected service time
+        double variance{0};   ///< of the same ratio
     };
 
     [[nodiscard]] duration stated_service(const queue_entry& entry) const;
+    [[nodiscard]] bool full(const queue_entry& entry) const;
+    [[nodiscard]] double margin_of(const queue_entry& entry) const;
     [[nodiscard]] double weight_of(const team_id& team) const;
     [[nodiscard]] class_queue& queue_of(request_class kind);
     [[nodiscard]] const class_queue& queue_of(request_class kind) const;
--- a/src/limits/admission_queue_test.cpp
+++ b/src/limits/admission_queue_test.cpp
@@ -96,6 +96,19 @@
     }
 }
 
+// Guards against long requests, whose deadlines are far, filling the queue so that short ones are
+// refused.
+TEST_F(admission_queue_test, long_requests_leave_room_for_short_ones)
+{
+    queue_ = admission_queue{{.capacity = 20, .concurrency = 1, .team_capacity_share = 1}};
+    int accepted = 0;
+    for (int i = 0; i < 30; ++i) {
+        accepted += offer(big, lengthy, 1h) ? 1 : 0;
+    }
+    EXPECT_EQ(accepted, 10);
+    EXPECT_TRUE(offer(small, brief, 1h));
+}
+
 // Guards against late requests being served, and against losing them without an answer.
 TEST_F(admission_queue_test, request_past_its_deadline_is_returned_by_expire_and_not_served)
 {
--- a/src/retry/retry_policy.cpp
+++ b/src/retry/retry_policy.cpp
@@ -1,6 +1,7 @@
 #include "retry/retry_policy.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wagtailhitch {
 
@@ -27,30 +28,39 @@
 } // namespace
 
 retry_budget::retry_budget(const retry_settings& settings, time_point now)
-    : share_{settings.budget_share}, capacity_{settings.budget_capacity}, earned_{0},
-      floor_{settings.budget_floor, std::max(1.0, settings.budget_floor), now}
+    : share_{settings.budget_share}, capacity_{settings.budget_capacity}, counted_at_{now},
+      memory_{settings.budget_memory}, floor_{settings.budget_floor,
+                                              std::max(1.0, settings.budget_floor), now}
 {
 }
 
-void retry_budget::count_request()
+void retry_budget::count_request(time_point now)
 {
-    earned_ = std::min(capacity_, earned_ + share_);
+    earned_ = std::min(capacity_, earned(now) + share_);
+    counted_at_ = now;
 }
 
 bool retry_budget::available(time_point now) const
 {
-    return earned_ >= 1 || floor_.level(now) >= 1;
+    return earned(now) >= 1 || floor_.level(now) >= 1;
 }
 
 void retry_budget::spend(time_point now)
 {
-    if (earned_ >= 1) {
-        earned_ -= 1;
+    if (earned(now) >= 1) {
+        earned_ = earned(now) - 1;
+        counted_at_ = now;
         return;
     }
     floor_.take(1, now);
 }
 
+double retry_budget::earned(time_point now) const
+{
+    const std::chrono::duration<double> age = now - counted_at_;
+    return earned_ * std::exp(-std::max(0.0, age / std::chrono::duration<double>(memory_)));
+}
+
 retry_policy::retry_policy(retry_settings settings) : settings_{settings} {}
 
 retry_decision retry_policy::decide(const failed_attempt& failure, const retry_budget& budget,
--- a/src/retry/retry_policy.hpp
+++ b/src/retry/retry_policy.hpp
@@ -8,7 +8,7 @@
 
 // Whether a failed attempt is followed by another one (design 3.12).
 //
-//   budget.count_request();
+//   budget.count_request(now);
 //   auto decision = policy.decide(failure, budget, now, generator);
 //   if (decision.action != retry_action::stop) { budget.spend(now); schedule(decision); }
 
@@ -47,6 +47,8 @@
     double budget_share{0.1};   ///< retries per request
     double budget_floor{1};     ///< retries per second in any case
     double budget_capacity{10}; ///< retries that may be saved up
+    /// Time constant with which saved retries lapse, so that a quiet pool starts from the floor.
+    duration budget_memory{10s};
     /// Sends a non-idempotent request again when no connection to the upstream was made, so that it
     /// cannot have begun. Off: such requests are sent once in any case (design 3.5).
     bool restart_unsent{false};
@@ -78,14 +80,18 @@
 public:
     retry_budget(const retry_settings& settings, time_point now);
 
-    void count_request();
+    void count_request(time_point now);
     [[nodiscard]] bool available(time_point now) const;
     void spend(time_point now);
 
 private:
+    [[nodiscard]] double earned(time_point now) const;
+
     double share_;
     double capacity_;
-    double earned_;
+    double earned_{0};
+    time_point counted_at_;
+    duration memory_;
     token_bucket floor_;
 };
 
--- a/src/routing/replica_chooser.cpp
+++ b/src/routing/replica_chooser.cpp
@@ -87,13 +87,15 @@
     }
     const double bytes = request.request_bytes + request.answer_bytes;
     const duration target = request.first_token_target > duration{0} ? request.first_token_target
-                                                                     : settings_.spill_after;
+                                                                     : settings_.remote_after;
     std::optional<scored_choice> best;
     for (const locality distance : {locality::domain, locality::region, locality::remote}) {
-        if (best && (!weighs || best->value.expected_first_token <= target)) {
-            break;
+        const bool remote = distance == locality::remote;
+        const duration enough = remote ? target : std::min(target, settings_.region_after);
+        if (best && (!weighs || best->value.expected_first_token <= enough)) {
+            continue;
         }
-        if (distance == locality::remote && !link.fits(bytes, now)) {
+        if (remote && !link.fits(bytes, now)) {
             break;
         }
         search(in, distance, generator, best);
--- a/src/routing/replica_chooser.hpp
+++ b/src/routing/replica_chooser.hpp
@@ -40,12 +40,14 @@
     double latency_weight{1};
     double cost_weight{0};        ///< seconds of first-token time that one money unit is worth
     double link_cost_per_mb{0};   ///< money units per 10^6 bytes over the paid link
-    double doubtful_value{0.5};   ///< part of a doubtful prefix match that is believed
+    double doubtful_value{0.8};   ///< part of a doubtful prefix match that is believed
     std::uint32_t sharing_vms{1}; ///< VMs that send to the same replicas; see estimate_load()
     /// Part of the other VMs' work since the report that is assumed to mirror this VM's, 0 to 1.
     double mirrored_share{0.25};
-    /// The next distance is tried when the best expected first token is later than this.
-    duration spill_after{500ms};
+    /// Other domains of the region are tried when the best expected first token is later than this.
+    duration region_after{100ms};
+    /// Other regions are tried when the best expected first token is later than this.
+    duration remote_after{250ms};
     duration domain_latency{500us};         ///< one way within the failure domain
     duration region_latency{2ms};           ///< one way to other domains of the region
     duration remote_latency{30ms};          ///< one way to other regions
@@ -67,7 +69,7 @@
     double request_bytes{0};       ///< estimate, sent over the link if the choice is remote
     double answer_bytes{0};        ///< estimate, returned over the link if the choice is remote
     double cost_per_1k_input{0};   ///< of the version; prompt tokens in a cache cost nothing
-    duration first_token_target{}; ///< 0: `spill_after` of the settings decides
+    duration first_token_target{}; ///< 0: `remote_after` of the settings decides
 };
 
 struct choice {
