--- a/src/net/caller_connection.cpp
+++ b/src/net/caller_connection.cpp
@@ -12,11 +12,11 @@
 
 namespace {
 
-constexpr std::size_t read_size = 16U * 1024;
+constexpr std::size_t read_size = std::size_t{16} * 1024;
 /// Pipelined bytes that are read while an answer is due; more stay in the kernel.
-constexpr std::size_t pipeline_limit = 64U * 1024;
+constexpr std::size_t pipeline_limit = std::size_t{64} * 1024;
 /// Largest answer that is collected for a caller that does not stream.
-constexpr std::size_t whole_answer_limit = 8U * 1024 * 1024;
+constexpr std::size_t whole_answer_limit = std::size_t{8} * 1024 * 1024;
 /// How long the rest of a rejected request is read, so that the refusal is not lost in a reset.
 constexpr std::chrono::seconds linger_time{1};
 
--- a/src/net/caller_server.hpp
+++ b/src/net/caller_server.hpp
@@ -23,11 +23,11 @@
 
 struct caller_server_settings {
     std::string address{"127.0.0.1:0"}; ///< "IP:port"; port 0 lets the kernel choose
-    std::size_t header_limit{16 * 1024};
-    std::size_t body_limit{1024 * 1024};
-    std::size_t prompt_limit{512 * 1024};
+    std::size_t header_limit{std::size_t{16} * 1024};
+    std::size_t body_limit{std::size_t{1024} * 1024};
+    std::size_t prompt_limit{std::size_t{512} * 1024};
     /// Bytes of one answer that wait for a slow caller before it is given up.
-    std::size_t write_limit{256 * 1024};
+    std::size_t write_limit{std::size_t{256} * 1024};
     std::size_t connection_limit{4096};
     duration header_timeout{10s}; ///< from the first byte of a request to its last
     duration idle_timeout{75s};   ///< between requests of one connection
--- a/src/net/caller_server_test.cpp
+++ b/src/net/caller_server_test.cpp
@@ -152,7 +152,7 @@
 TEST_F(net_caller_server_test, unusable_requests_are_refused_with_code_and_not_run)
 {
     const std::string deep(200, '[');
-    const std::string large_prompt(600 * 1024, 'x');
+    const std::string large_prompt(600'000, 'x');
     const std::vector<refusal_case> cases{
         {"not HTTP", "hello\r\n\r\n", "400", "malformed_request"},
         {"not JSON", chat_request("{"), "400", "malformed_request"},
@@ -174,9 +174,8 @@
          "body_too_large"},
         {"body too large", "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n{",
          "413", "body_too_large"},
-        {"header too large",
-         "GET /healthz HTTP/1.1\r\nX: " + std::string(20 * 1024, 'x') + "\r\n\r\n", "413",
-         "body_too_large"},
+        {"header too large", "GET /healthz HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n",
+         "413", "body_too_large"},
     };
     for (const refusal_case& it : cases) {
         auto from = caller();
@@ -251,7 +250,7 @@
 {
     caller_server_settings settings;
     settings.header_timeout = short_time;
-    settings.write_limit = 64 * 1024;
+    settings.write_limit = 65'536;
     restart(settings);
     auto half = caller();
     half->write("POST /v1/chat/completions HTTP/1.1\r\n");
@@ -262,7 +261,7 @@
     reader->paused = true;
     const caller_token token = ask(reader, chat_request());
     server_->handle(answer_start{token, request, version_id{"n-3"}, {}});
-    const std::string piece(32 * 1024, 'x');
+    const std::string piece(32'768, 'x');
     ASSERT_TRUE(pump_until([&] {
         server_->handle(answer_chunk{token, piece});
         return !inputs_of<caller_gone>().empty();
--- a/src/net/http2_channel.cpp
+++ b/src/net/http2_channel.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 #include <deque>
 #include <new>
 
@@ -14,7 +13,7 @@
 
 constexpr std::int32_t window_bytes = 1024 * 1024;
 constexpr std::uint32_t header_list_bytes = 4096;
-constexpr std::size_t output_target = 64U * 1024;
+constexpr std::size_t output_target = std::size_t{64} * 1024;
 constexpr std::string_view frames_path = "/v1/frames";
 
 nghttp2_nv header(std::string_view name, std::string_view value)
@@ -41,7 +40,7 @@
 
     void open();
     void open_client();
-    void resume();
+    void resume() const;
     nghttp2_data_provider provider();
     ssize_t copy_body(std::uint8_t* to, std::size_t n, std::uint32_t* flags);
     int on_header(const nghttp2_frame& frame, std::string_view name, std::string_view value);
@@ -165,7 +164,7 @@
     while (done < n && !queue.empty()) {
         const std::string& front = queue.front();
         const std::size_t part = std::min(n - done, front.size() - front_offset);
-        std::memcpy(to + done, front.data() + front_offset, part);
+        std::copy_n(front.data() + front_offset, part, to + done);
         done += part;
         front_offset += part;
         if (front_offset == front.size()) {
@@ -218,7 +217,7 @@
     return 0;
 }
 
-void http2_channel::state::resume()
+void http2_channel::state::resume() const
 {
     if (stream >= 0) {
         // Fails when nothing is deferred, which needs no resuming.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -22,7 +22,7 @@
 
 namespace {
 
-constexpr std::size_t read_size = 16U * 1024;
+constexpr std::size_t read_size = std::size_t{16} * 1024;
 
 class exchange;
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -39,9 +39,9 @@
     std::string target{"/"};
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
-    duration first_byte_timeout{5s};     ///< from the start to the first byte of the answer's body
-    duration progress_timeout{5s};       ///< between bytes of the answer's body
-    std::size_t body_limit{1024 * 1024}; ///< 0: no limit, for streams
+    duration first_byte_timeout{5s}; ///< from the start to the first byte of the answer's body
+    duration progress_timeout{5s};   ///< between bytes of the answer's body
+    std::size_t body_limit{std::size_t{1024} * 1024}; ///< 0: no limit, for streams
 };
 
 struct answer_head {
@@ -61,7 +61,7 @@
     duration connect_timeout{1s};
     duration idle_timeout{30s}; ///< a kept connection that is older is not used again
     std::size_t idle_per_address{64};
-    std::size_t header_limit{16 * 1024};
+    std::size_t header_limit{std::size_t{16} * 1024};
     duration sweep_interval{20ms};
 };
 
--- a/src/net/net_test_support.hpp
+++ b/src/net/net_test_support.hpp
@@ -145,7 +145,7 @@
     /// Runs the loop until `done`. The bound only ends a test that has failed already.
     template<typename Done> [[nodiscard]] bool pump_until(Done done)
     {
-        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{20};
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{10};
         while (!done() && std::chrono::steady_clock::now() < until) {
             io_.restart();
             io_.run_one_for(std::chrono::milliseconds{20});
--- a/src/net/peer_connection.cpp
+++ b/src/net/peer_connection.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t read_size = 64U * 1024;
+constexpr std::size_t read_size = std::size_t{64} * 1024;
 /// Before the other side is authenticated it may send greetings only.
 constexpr std::size_t handshake_frame_limit = 1024;
 
--- a/src/net/peer_transport.hpp
+++ b/src/net/peer_transport.hpp
@@ -27,9 +27,9 @@
     process_id self;
     failure_domain_id failure_domain;
     std::string cluster_key; ///< never logged
-    std::size_t frame_limit{1024 * 1024};
-    std::size_t queue_limit{256};             ///< frames that wait for one peer
-    std::size_t queue_bytes{8 * 1024 * 1024}; ///< bytes that wait for one peer
+    std::size_t frame_limit{std::size_t{1024} * 1024};
+    std::size_t queue_limit{256};                          ///< frames that wait for one peer
+    std::size_t queue_bytes{std::size_t{8} * 1024 * 1024}; ///< bytes that wait for one peer
     std::size_t connection_limit{1024};
     std::vector<std::string> kinds; ///< frames of other kinds are dropped; empty: all are accepted
     duration connect_timeout{1s};   ///< until both sides are authenticated
--- a/src/net/platform_client.hpp
+++ b/src/net/platform_client.hpp
@@ -32,8 +32,8 @@
     duration backoff_first{100ms};
     duration backoff_limit{2s};
     std::size_t poll_records{500};
-    std::size_t body_limit{16 * 1024 * 1024};
-    std::size_t record_limit{64 * 1024};
+    std::size_t body_limit{std::size_t{16} * 1024 * 1024};
+    std::size_t record_limit{std::size_t{64} * 1024};
     duration sweep_interval{20ms};
     std::uint64_t seed{1}; ///< of the jitter
 };
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -21,7 +21,7 @@
 
 /// Failed generations that can still be cancelled by name; older ones end by the engine's own rule.
 constexpr std::size_t remembered_failures = 256;
-constexpr std::size_t probe_body_limit = 256U * 1024;
+constexpr std::size_t probe_body_limit = std::size_t{256} * 1024;
 
 detail::http_client_settings client_settings(const upstream_client_settings& settings)
 {
@@ -48,13 +48,12 @@
           client{context, client_settings(values), sender}, started{registry.count(
                                                                 "upstream_attempts_total")},
           finished{registry.count("upstream_attempts_finished_total")},
-          cancelled{registry.count("upstream_attempts_cancelled_total")}, registry_{registry}
+          cancelled{registry.count("upstream_attempts_cancelled_total")}, counters{registry}
     {
     }
 
     void start(attempt_start&& message);
-    void end(const attempt_id& id, const detail::call_failure* failure);
-    void emit(const std::string& address, input message);
+    void emit(const attempt_id& id, const std::string& address, input message);
     void note_failure(const std::string& address, const attempt_failed& failure);
     void cancel(attempt_cancel&& message);
     void cancel_generation(const std::string& address, const attempt_id& id);
@@ -70,7 +69,7 @@
     counter& started;
     counter& finished;
     counter& cancelled;
-    metrics& registry_;
+    metrics& counters;
     std::map<attempt_id, running_attempt> attempts;
     std::deque<attempt_id> failed_generations;
     std::map<upstream_id, std::uint64_t> next_cache_event;
@@ -83,15 +82,12 @@
     const std::string address = message.address;
     auto attempt = std::make_shared<detail::upstream_attempt>(
         std::move(message), settings.chunk_limit,
-        [this, address](input event) { emit(address, std::move(event)); });
+        [this, id, address](input event) { emit(id, address, std::move(event)); });
     auto call = attempt->call(settings.body_limit);
     detail::http_hooks hooks;
     hooks.on_header = [attempt](detail::answer_head head) { attempt->on_header(std::move(head)); };
     hooks.on_data = [attempt](std::string_view bytes) { attempt->on_data(bytes); };
-    hooks.on_end = [this, attempt, id](const detail::call_failure* failure) {
-        attempt->on_end(failure);
-        attempts.erase(id);
-    };
+    hooks.on_end = [attempt](const detail::call_failure* failure) { attempt->on_end(failure); };
     auto& slot = attempts[id];
     slot.attempt = attempt;
     auto handle = client.start(std::move(call), std::move(hooks));
@@ -101,20 +97,21 @@
     }
 }
 
-void upstream_client::state::emit(const std::string& address, input message)
+void upstream_client::state::emit(const attempt_id& id, const std::string& address, input message)
 {
     if (const auto* failure = std::get_if<attempt_failed>(&message)) {
         note_failure(address, *failure);
     }
     else if (std::holds_alternative<attempt_finished>(message)) {
         finished.add();
+        attempts.erase(id);
     }
     sender.send(std::move(message));
 }
 
 void upstream_client::state::note_failure(const std::string& address, const attempt_failed& failure)
 {
-    registry_
+    counters
         .count("upstream_attempts_failed_total",
                {{"code", std::string{name_of(failure.reason.code)}},
                 {"run", std::string{name_of(failure.reason.run)}}})
@@ -128,21 +125,17 @@
     if (it == attempts.end()) {
         return;
     }
-    if (it->second.attempt->message().kind != attempt_kind::service_call) {
+    const running_attempt failed = std::move(it->second);
+    attempts.erase(it);
+    if (failed.attempt->message().kind != attempt_kind::service_call) {
         failed_generations.push_back(failure.attempt);
         if (failed_generations.size() > remembered_failures) {
             failed_generations.pop_front();
         }
     }
-    if (it->second.call) {
+    if (failed.call) {
         // A broken stream may still be sending; posted because its own hook is running.
-        boost::asio::post(io, [self = shared_from_this(), id = failure.attempt] {
-            const auto slot = self->attempts.find(id);
-            if (slot != self->attempts.end()) {
-                slot->second.call->cancel();
-                self->attempts.erase(slot);
-            }
-        });
+        boost::asio::post(io, [call = failed.call] { call->cancel(); });
     }
 }
 
--- a/src/net/upstream_client.hpp
+++ b/src/net/upstream_client.hpp
@@ -33,8 +33,8 @@
     duration cancel_timeout{2s};
     duration idle_timeout{30s}; ///< a pooled connection older than this is not reused
     std::size_t idle_per_upstream{64};
-    std::size_t chunk_limit{64 * 1024};  ///< one event of a stream
-    std::size_t body_limit{1024 * 1024}; ///< one whole answer of a plain service
+    std::size_t chunk_limit{std::size_t{64} * 1024};  ///< one event of a stream
+    std::size_t body_limit{std::size_t{1024} * 1024}; ///< one whole answer of a plain service
     duration sweep_interval{20ms};
 };
 
--- a/src/node/runtime/output_router.cpp
+++ b/src/node/runtime/output_router.cpp
@@ -48,7 +48,7 @@
 
 void output_router::route(output&& message)
 {
-    std::visit([this](auto&& it) { take(std::move(it)); }, std::move(message));
+    std::visit([this](auto& it) { take(std::move(it)); }, message);
 }
 
 std::optional<input> output_router::take_refusal()
--- a/src/node/runtime/runtime.cpp
+++ b/src/node/runtime/runtime.cpp
@@ -63,7 +63,7 @@
     [[nodiscard]] asio::io_context& io(io_duty duty) { return at(duty).thread.io(); }
     [[nodiscard]] input_sink sink(io_duty duty);
     [[nodiscard]] output_router::rings rings();
-    void take_output(io_duty duty, output&& message);
+    void take_output(io_duty duty, output& message) const;
     void drain_outputs(io_duty duty);
     void drain_inputs();
     bool handle_batch(ring<input>& from);
@@ -133,14 +133,14 @@
 {
     auto& from = at(duty).outputs;
     while (auto message = from.pop()) {
-        take_output(duty, std::move(*message));
+        take_output(duty, *message);
     }
 }
 
-void runtime::state::take_output(io_duty duty, output&& message)
+void runtime::state::take_output(io_duty duty, output& message) const
 {
     const auto carry_out = [](auto& target) {
-        return [&target](auto&& it) {
+        return [&target](auto& it) {
             if constexpr (requires { target.handle(std::move(it)); }) {
                 target.handle(std::move(it));
             }
@@ -148,16 +148,16 @@
     };
     switch (duty) {
     case io_duty::callers:
-        std::visit(carry_out(*callers), std::move(message));
+        std::visit(carry_out(*callers), message);
         break;
     case io_duty::upstreams:
-        std::visit(carry_out(*upstreams), std::move(message));
+        std::visit(carry_out(*upstreams), message);
         break;
     case io_duty::platform:
-        std::visit(carry_out(*platform), std::move(message));
+        std::visit(carry_out(*platform), message);
         break;
     case io_duty::peers:
-        std::visit(carry_out(*peers), std::move(message));
+        std::visit(carry_out(*peers), message);
         break;
     }
 }
