--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -25,8 +25,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds accept_pause{100};
-/// After one of two connections of a pair is given up, frames may still arrive on it.
-constexpr std::chrono::seconds retire_time{1};
 
 time_point clock_now()
 {
@@ -209,11 +207,11 @@
     }
     const time_point now = clock_now();
     if (vm == limits.self.vm || (entry.current && !replaces(*connection, *entry.current))) {
-        connection->retire(now + retire_time);
+        connection->retire(now + limits.retire_time);
         return;
     }
     if (entry.current) {
-        entry.current->retire(now + retire_time);
+        entry.current->retire(now + limits.retire_time);
     }
     adopt(entry, connection);
 }
--- a/src/net/peer_transport.hpp
+++ b/src/net/peer_transport.hpp
@@ -37,6 +37,8 @@
     duration ping_timeout{3s}; ///< without an answer to a ping the connection is dead
     duration reconnect_pause{200ms};
     duration idle_timeout{60s}; ///< a connection without frames is closed
+    /// How long the given up one of two connections of a pair still receives frames.
+    duration retire_time{1s};
     duration sweep_interval{20ms};
 };
 
