--- a/src/cli/report.cpp
+++ b/src/cli/report.cpp
@@ -96,7 +96,7 @@
 
 std::shared_ptr<report_options> add_options(CLI::App& sub)
 {
-    const auto options = std::make_shared<report_options>();
+    auto options = std::make_shared<report_options>();
     sub.add_option("--address", options->addresses,
                    "A VM's caller address IP:port; may be repeated")
         ->required();
--- a/src/config/follow.cpp
+++ b/src/config/follow.cpp
@@ -291,8 +291,8 @@
         }
     }
     if (!out.empty()) {
-        std::ranges::rotate(out,
-                            out.begin() + static_cast<std::ptrdiff_t>(next_relay_++ % out.size()));
+        const auto first = static_cast<std::ptrdiff_t>(next_relay_++ % out.size());
+        std::rotate(out.begin(), out.begin() + first, out.end());
     }
     // Relays read the log; they need no peer while it confirms them. A VM that has no fresh state
     // asks any other VM as well, also in other domains.
