--- a/src/net/platform_client.hpp
+++ b/src/net/platform_client.hpp
@@ -26,14 +26,14 @@
     std::string rating_address;  ///< empty: ratings are not polled
     duration connect_timeout{1s};
     duration append_timeout{5s};
-    duration poll_wait{2s};      ///< long-poll wait that the log is asked for
+    duration poll_wait{500ms};   ///< long-poll wait that the log is asked for
     duration silence_margin{2s}; ///< a poll without an answer after wait plus this is given up
     duration poll_interval{1s};  ///< of the VM list and of the ratings
     duration backoff_first{100ms};
     duration backoff_limit{2s};
     std::size_t poll_records{500};
-    std::size_t body_limit{16 * 1024 * 1024};
-    std::size_t record_limit{64 * 1024};
+    std::size_t body_limit{std::size_t{16} * 1024 * 1024};
+    std::size_t record_limit{std::size_t{64} * 1024};
     duration sweep_interval{20ms};
     std::uint64_t seed{1}; ///< of the jitter
 };
