Treat a gap in the lease stream as a new beginning, and refuse unsubmitted claims truthfully

After records of the stream expire unread, a renewal may be among them: the table forgets its duties and a contender waits the full time again. claim_flow::not_submitted() gives the refusal for a full outbox: not_run only if that is certain.

--- a/src/claim/claim_flow.cpp
+++ b/src/claim/claim_flow.cpp
@@ -44,6 +44,13 @@
     return state.owner == request_.request ? held_here(state, now) : held_by_other(state, now);
 }
 
+claim_action claim_flow::not_submitted(const claims_confirmation& log)
+{
+    const auto run = not_run_is_certain(log) ? run_state::not_run : run_state::outcome_unknown;
+    return refuse(error_code::claim_unavailable, run,
+                  std::string{"Too many claims wait for the log."} + ticket_hint);
+}
+
 bool claim_flow::abandon()
 {
     if (phase_ == flow_phase::sent) {
--- a/src/claim/claim_flow.hpp
+++ b/src/claim/claim_flow.hpp
@@ -75,6 +75,10 @@
     /// with the key still runs at the deadline, or its owner is gone; outcome_unknown).
     claim_action advance(const claim_table& table, const claims_confirmation& log, time_point now);
 
+    /// The claim could not be submitted, because the outbox is full. The refusal is
+    /// claim_unavailable; not_run if that is certain, else outcome_unknown.
+    claim_action not_submitted(const claims_confirmation& log);
+
     /// The caller has gone before the request was sent. True when a claim was submitted and must
     /// be withdrawn from the outbox. The flow is over.
     bool abandon();
--- a/src/claim/claim_flow_test.cpp
+++ b/src/claim/claim_flow_test.cpp
@@ -176,6 +176,19 @@
     expect_refusal(start(first), error_code::claim_unavailable, run_state::not_run);
 }
 
+// Guards invariant 6: the key may have run before, whatever the reason of the refusal.
+TEST_F(claim_flow_test, claim_that_finds_no_place_is_refused_by_what_is_known)
+{
+    auto flow = make();
+    start(flow);
+    expect_refusal(flow.not_submitted(log_), error_code::claim_unavailable,
+                   run_state::outcome_unknown);
+    EXPECT_TRUE(flow.over());
+    auto first = make(true);
+    start(first);
+    expect_refusal(first.not_submitted(log_), error_code::claim_unavailable, run_state::not_run);
+}
+
 // Guards against a VM that was frozen between its claim and the read-back and sends afterwards.
 TEST_F(claim_flow_test, winner_past_its_deadline_releases_the_key_instead_of_sending)
 {
--- a/src/lease/lease_keeper.cpp
+++ b/src/lease/lease_keeper.cpp
@@ -23,8 +23,10 @@
 std::optional<lease_record> lease_keeper::tick(const lease_table& table,
                                                const std::vector<vm_id>& candidates, time_point now)
 {
-    if (!latest_read_) {
+    // After a gap the unread records may contain a renewal that was sent just now.
+    if (!latest_read_ || table.started_at() != table_start_) {
         latest_read_ = now;
+        table_start_ = table.started_at();
     }
     if (now < next_append_) {
         return std::nullopt;
--- a/src/lease/lease_keeper.hpp
+++ b/src/lease/lease_keeper.hpp
@@ -72,6 +72,7 @@
     std::map<std::uint64_t, time_point> sent_; // nonce -> time read before sending
     // When this VM read the duty's latest accepted record, or began to look for one.
     std::optional<time_point> latest_read_;
+    log_offset table_start_{0};
     time_point next_append_{};
     time_point authority_until_{};
     fencing_number fencing_{0};
--- a/src/lease/lease_keeper_test.cpp
+++ b/src/lease/lease_keeper_test.cpp
@@ -134,6 +134,20 @@
     EXPECT_FALSE(tick(a_, 1min).has_value()) << "The VM contends again after giving up.";
 }
 
+// Guards against an acquire while a renewal of the holder is among the records that expired unread.
+TEST_F(lease_keeper_test, contender_waits_again_after_a_gap)
+{
+    acquire();
+    candidates_ = {vm_id{"b-1"}};
+    EXPECT_FALSE(tick(b_).has_value());
+    clock_.advance(1min);
+    table_.start(100);
+    EXPECT_EQ(table_.find(duty), nullptr);
+    EXPECT_FALSE(tick(b_).has_value());
+    EXPECT_FALSE(tick(b_, 7069ms).has_value());
+    EXPECT_TRUE(tick(b_, 1ms).has_value());
+}
+
 // Guards against authority that returns while a release is on its way to the log.
 TEST_F(lease_keeper_test, resumed_holder_waits_for_an_accepted_renewal)
 {
@@ -176,7 +190,7 @@
 
 constexpr std::size_t vm_count = 3;
 constexpr std::array<double, vm_count> clock_rates{0.995, 1.0, 1.005};
-constexpr duration retention = 60s;
+constexpr duration retention = 15s;
 
 struct simulated_vm {
     process_id id;
@@ -288,6 +302,9 @@
     void read(std::size_t n, std::uint32_t records)
     {
         auto& vm = vms_.at(n);
+        if (!vm.frozen && vm.table.next_offset() < oldest_) {
+            vm.table.start(oldest_);
+        }
         while (!vm.frozen && vm.table.next_offset() < log_.head() && records-- > 0) {
             const auto offset = vm.table.next_offset();
             const auto record = decode_lease_record(log_.at(offset));
--- a/src/lease/lease_table.cpp
+++ b/src/lease/lease_table.cpp
@@ -17,6 +17,7 @@
 {
     start_ = oldest;
     next_ = oldest;
+    duties_.clear();
 }
 
 lease_verdict lease_table::apply(log_offset offset, const lease_record& record)
--- a/src/lease/lease_table.hpp
+++ b/src/lease/lease_table.hpp
@@ -35,7 +35,8 @@
 
 class lease_table {
 public:
-    /// The fold begins at `oldest`. Duties held before are learned from the renewals that follow.
+    /// The fold begins at `oldest`, or begins again there after records expired unread. Duties held
+    /// before are learned from the renewals that follow.
     void start(log_offset oldest);
 
     /// Accepts the record if no record of its duty was accepted at or after `folded_to`, and a
@@ -47,6 +48,7 @@
     /// Nobody can have authority: the duty was released, or never held since offset 0.
     [[nodiscard]] bool vacant(const std::string& duty) const;
     [[nodiscard]] log_offset next_offset() const { return next_; }
+    [[nodiscard]] log_offset started_at() const { return start_; }
 
 private:
     struct duty_state {
