--- a/bench/routing/report.cpp
+++ b/bench/routing/report.cpp
@@ -89,8 +89,9 @@
             return it == from.values.end() ? 0 : it->second;
         };
         const bool more = name.starts_with("goodput") || name == "cached_tokens";
-        print_line(prefix + "/" + name, value(baseline), value(current), unit_of(name),
-                   more ? "higher" : "lower");
+        std::string full = prefix;
+        full.append("/").append(name);
+        print_line(full, value(baseline), value(current), unit_of(name), more ? "higher" : "lower");
     }
 }
 
