--- a/src/net/peer_transport_test.cpp
+++ b/src/net/peer_transport_test.cpp
@@ -32,7 +32,7 @@
         ASSERT_TRUE(transport->start().has_value());
     }
 
-    void send(const peer_node& to, const std::string& kind, const json& body)
+    void send(const peer_node& to, const std::string& kind, const json& body) const
     {
         transport->handle(peer_send{to.settings.self.vm, to.transport->address(), kind,
                                     std::make_shared<json>(body)});
--- a/src/net/platform_client_test.cpp
+++ b/src/net/platform_client_test.cpp
@@ -235,7 +235,7 @@
         whole(R"({"next":3,"items":[{"request":"r","version":"n-3","route":"q","score":0.25}]})"));
     ASSERT_TRUE(pump_until(
         [&] { return ratings.connections[0]->received.find("from=3") != std::string::npos; }));
-    const auto got = inputs_of<class ratings>().front();
+    const auto got = inputs_of<struct ratings>().front();
     ASSERT_EQ(got.items.size(), 1U);
     EXPECT_EQ(got.items[0].score, 0.25);
 }
--- a/src/net/upstream_client_test.cpp
+++ b/src/net/upstream_client_test.cpp
@@ -49,7 +49,7 @@
         client_ = std::make_unique<upstream_client>(io_, settings, sink(), metrics_);
     }
 
-    attempt_start chat(std::uint32_t number = 1)
+    attempt_start chat(std::uint32_t number = 1) const
     {
         attempt_start out;
         out.attempt = attempt_id{request_id{vm_id{"vm-1"}, 7, 42}, number};
@@ -63,7 +63,7 @@
         return out;
     }
 
-    attempt_start service_call()
+    attempt_start service_call() const
     {
         attempt_start out = chat();
         out.kind = attempt_kind::service_call;
