--- a/scripts/lib/bills.py
+++ b/scripts/lib/bills.py
@@ -1,7 +1,7 @@
 """Reads bills from records of the log stream `bills`.
 
-A record is a MessagePack array of bills, base64url-encoded without padding, because records are JSON
-text. Each bill is [vm, run, sequence, team, outcome, [[version, upstream, prompt tokens, generated
+A record is a MessagePack array of bills. As records are JSON text, it is written as "base64:" and
+base64url without padding. Each bill is [vm, run, sequence, team, outcome, [[version, upstream, prompt tokens, generated
 tokens, cost in millionths], ...]].
 """
 
@@ -76,12 +76,16 @@
     }
 
 
+def raw_record(text):
+    encoded = text.removeprefix("base64:")
+    return base64.urlsafe_b64decode(encoded + "=" * (-len(encoded) % 4))
+
+
 def read_bills(records):
     """The first bill of each request, by request id; repeated records are dropped."""
     out = {}
     for record in records:
-        raw = base64.urlsafe_b64decode(record + "=" * (-len(record) % 4))
-        batch, _ = unpack(raw)
+        batch, _ = unpack(raw_record(record))
         for data in batch:
             bill = read_bill(data)
             out.setdefault(bill["request"], bill)
--- a/scripts/lib/demo_calls.py
+++ b/scripts/lib/demo_calls.py
@@ -177,7 +177,8 @@
 
 
 def run(options):
-    deployment = Deployment("samples/cuenca", options.build, VMS, ["--token-us", "3000"])
+    deployment = Deployment("samples/cuenca", options.build, VMS,
+                            ["--token-us", 3000, "--minimum-tokens", 40, "--maximum-tokens", 120])
     kept = False
     try:
         deployment.start()
