--- a/scripts/lib/demo_calls.py
+++ b/scripts/lib/demo_calls.py
@@ -197,6 +197,7 @@
             print_curl_lines(deployment)
             return 0
         stop(deployment)
+        deployment.remove_files()
         print("all checks passed")
         return 0
     except (CheckFailed, DeploymentError, OSError, KeyError, ValueError) as failure:
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -13,6 +13,7 @@
 import json
 import pathlib
 import secrets
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -270,6 +271,10 @@
         self.processes = []
         return codes
 
+    def remove_files(self):
+        """Removes logs, keys and settings; after a failure they are kept for reading."""
+        shutil.rmtree(self.root, ignore_errors=True)
+
     def environment(self):
         """Shell lines that name the ports, for a deployment that stays up."""
         return [f"{name.replace('-', '_').upper()}=127.0.0.1:{port}"
--- a/scripts/lib/measure.py
+++ b/scripts/lib/measure.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import shutil
 import subprocess
 import sys
 import tempfile
@@ -86,6 +87,12 @@
     return out
 
 
+def stop(deployment):
+    deployment.stop()
+    deployment.remove_files()
+    shutil.rmtree(deployment.sample, ignore_errors=True)
+
+
 def load(build, targets, model, rate, seconds, token=None):
     """Runs the load tool; returns its summary of all requests."""
     command = [str(build / "load"), "--kind", f"{model}:1:400", "--rate", str(rate),
@@ -157,7 +164,7 @@
                             "ms", "lower")
         figures.add("CPU per request", bare_cpu, router_cpu, "ms", "lower")
     finally:
-        deployment.stop()
+        stop(deployment)
 
 
 def measure_overload(build, figures, seconds):
@@ -174,7 +181,7 @@
         figures.add("goodput at 2x load, of that at 1x", full["goodput_per_s"],
                     double["goodput_per_s"], "requests/s", "higher")
     finally:
-        deployment.stop()
+        stop(deployment)
 
 
 def measure_stop(build, figures, seconds):
@@ -201,7 +208,7 @@
         figures.add("requests interrupted by a planned stop", 0, sum(broken.values()), "requests",
                     "lower")
     finally:
-        deployment.stop()
+        stop(deployment)
 
 
 def measure_idle(build, figures, seconds):
@@ -227,7 +234,7 @@
         figures.add("time until a change is in force everywhere", 9.0,
                     time.monotonic() - started, "s", "lower")
     finally:
-        deployment.stop()
+        stop(deployment)
 
 
 MEASUREMENTS = {"data-path": measure_data_path, "overload": measure_overload,
