Connect roll-outs to the node: evidence, steps, halts and orders

Every VM counts answers, errors, slow answers and the ratings of its own requests, shares them in heartbeats and may halt; the holder of the duty advances and orders loads and withdrawals.

--- a/src/net/peer_transport.cpp
+++ b/src/net/peer_transport.cpp
@@ -367,9 +367,4 @@
     state_->send(std::move(message));
 }
 
-void peer_transport::handle(identity_changed&& message)
-{
-    state_->limits.self = message.self;
-}
-
 } // namespace wagtailhitch
--- a/src/net/peer_transport.hpp
+++ b/src/net/peer_transport.hpp
@@ -55,8 +55,6 @@
     [[nodiscard]] std::string address() const;
 
     void handle(peer_send&& message);
-    /// Frames and connections from now on carry the new incarnation.
-    void handle(identity_changed&& message);
 
 private:
     struct state;
--- a/src/net/upstream_attempt.cpp
+++ b/src/net/upstream_attempt.cpp
@@ -94,7 +94,9 @@
 upstream_attempt::upstream_attempt(attempt_start message, std::size_t chunk_limit,
                                    std::function<void(input)> emit)
     : message_{std::move(message)}, emit_{std::move(emit)},
-      request_name_{to_string(message_.attempt.request)}, parser_{chunk_limit}
+      request_name_{message_.generation.empty() ? to_string(message_.attempt.request)
+                                                : message_.generation},
+      parser_{chunk_limit}
 {
     if (message_.kind == attempt_kind::resume) {
         next_index_ = message_.resume_from;
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -56,7 +56,7 @@
     void emit(const attempt_id& id, const std::string& address, input message);
     void note_failure(const std::string& address, const attempt_failed& failure);
     void cancel(attempt_cancel&& message);
-    void cancel_generation(const std::string& address, const attempt_id& id);
+    void cancel_generation(const attempt_cancel& message);
     void probe(probe_upstream&& message);
     void poll_cache_events(const probe_upstream& message);
     void order(upstream_order&& message);
@@ -148,7 +148,7 @@
         it->second.call->cancel();
         attempts.erase(it);
         if (generation) {
-            cancel_generation(message.address, message.attempt);
+            cancel_generation(message);
         }
         return;
     }
@@ -156,18 +156,19 @@
         std::find(failed_generations.begin(), failed_generations.end(), message.attempt);
     if (failed != failed_generations.end()) {
         failed_generations.erase(failed);
-        cancel_generation(message.address, message.attempt);
+        cancel_generation(message);
     }
 }
 
-void upstream_client::state::cancel_generation(const std::string& address, const attempt_id& id)
+void upstream_client::state::cancel_generation(const attempt_cancel& message)
 {
     detail::http_call call;
-    call.address = address;
+    const auto name =
+        message.generation.empty() ? to_string(message.attempt.request) : message.generation;
+    call.address = message.address;
     call.method = "DELETE";
-    call.target = "/v1/generations/" + detail::encode_path_segment(to_string(id.request));
-    call.headers = {{"X-Request-Id", to_string(id.request)},
-                    {"X-Attempt", std::to_string(id.number)}};
+    call.target = "/v1/generations/" + detail::encode_path_segment(name);
+    call.headers = {{"X-Request-Id", name}, {"X-Attempt", std::to_string(message.attempt.number)}};
     call.first_byte_timeout = settings.cancel_timeout;
     call.progress_timeout = settings.cancel_timeout;
     fetch(std::move(call), [](const detail::whole_answer&) {});
--- a/src/node/core_state.hpp
+++ b/src/node/core_state.hpp
@@ -15,6 +15,7 @@
 #include "node/peer_messages.hpp"
 #include "node/stream_relay.hpp"
 #include "retry/retry_policy.hpp"
+#include "rollout/evidence.hpp"
 #include "rollout/rollout.hpp"
 #include "routing/link_budget.hpp"
 #include "routing/prefix_index.hpp"
@@ -58,6 +59,8 @@
     lease_table leases;
     claim_table claims;
     rollout_fold rollouts;
+    evidence_pool evidence;
+    std::map<version_id, version_counts> own_evidence;
 
     claim_outbox claim_items;
     bill_buffer bills;
--- a/src/node/membership_control.cpp
+++ b/src/node/membership_control.cpp
@@ -166,6 +166,18 @@
         out.confirmed_age = now - *confirmed;
     }
     out.ready = state_.ready();
+    // Only roll-outs need evidence; without one the heartbeat carries none.
+    for (const auto& [model, spec] : state_.doc->models) {
+        const bool rolling =
+            std::any_of(spec.versions.begin(), spec.versions.end(), [](const auto& item) {
+                return item.second.state == version_state::rolling;
+            });
+        for (auto& entry : state_.evidence.entries()) {
+            if (rolling && spec.versions.contains(entry.version)) {
+                out.evidence.push_back(std::move(entry));
+            }
+        }
+    }
     return out;
 }
 
--- a/src/node/messages.hpp
+++ b/src/node/messages.hpp
@@ -269,7 +269,10 @@
     std::string address; ///< "IP:port"
     version_id version;  ///< replaces the body's `model`
     json_ptr body;
-    std::string generation;       ///< resume: the engine's generation id, to_string(request_id)
+    /// Names the generation at the engine (X-Request-Id); a resume names that of an earlier
+    /// attempt. Each attempt that begins a generation has its own name, so that an engine never
+    /// takes a later step of a cascade for a repeat of an earlier one. Empty: the request's id.
+    std::string generation;
     std::uint64_t resume_from{0}; ///< resume: first token index wanted
     std::string method;           ///< service calls
     std::string path;
@@ -285,6 +288,7 @@
 struct attempt_cancel {
     attempt_id attempt;
     std::string address;
+    std::string generation; ///< as in attempt_start
 };
 
 struct probe_upstream {
@@ -327,20 +331,14 @@
     json_ptr body;
 };
 
-/// The process goes on under a new incarnation, because its old one was removed.
-struct identity_changed {
-    process_id self;
-};
-
 /// The last output of a graceful shutdown: nothing is in flight and everything is handed over.
 struct stopped {
     /// Peers had removed this incarnation: the process goes on under a new one.
     bool restart{false};
 };
 
-using output =
-    std::variant<answer_start, answer_chunk, answer_end, answer_whole, answer_error,
-                 published_state, attempt_start, attempt_cancel, probe_upstream, upstream_order,
-                 log_append, log_follow, peer_send, identity_changed, stopped>;
+using output = std::variant<answer_start, answer_chunk, answer_end, answer_whole, answer_error,
+                            published_state, attempt_start, attempt_cancel, probe_upstream,
+                            upstream_order, log_append, log_follow, peer_send, stopped>;
 
 } // namespace wagtailhitch
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -4,6 +4,7 @@
 #include "node/configuration_control.hpp"
 #include "node/core_state.hpp"
 #include "node/membership_control.hpp"
+#include "node/rollout_control.hpp"
 #include "node/status_report.hpp"
 #include "node/stream_control.hpp"
 #include "request/chat_requests.hpp"
@@ -18,8 +19,6 @@
 constexpr duration drain_grace = 2s;
 // Frames of the last heartbeat need a moment on the wire before the process ends.
 constexpr duration leave_grace = 100ms;
-// A rating at or above this counts as a sufficient answer.
-constexpr double sufficient_score = 0.5;
 
 // Outcomes and bills that the log does not take for this long are left to their copies on peers.
 constexpr duration handover_limit = 30s;
@@ -37,7 +36,8 @@
                                                                }},
           streams{state,
                   {[this](time_point at, std::vector<output>& out) { services.on_claims(at, out); },
-                   [this](const request_id& id) { return services.owns(id); }}}
+                   [this](const request_id& id) { return services.owns(id); }}},
+          rollouts{state}
     {
     }
 
@@ -56,6 +56,7 @@
     membership_control membership;
     configuration_control configuration;
     stream_control streams;
+    rollout_control rollouts;
     time_point next_report;
     time_point stop_at;
     stop_phase phase{stop_phase::running};
@@ -222,13 +223,7 @@
 
 void node_core::parts::on(const ratings& event, time_point /*now*/, std::vector<output>& /*out*/)
 {
-    for (const auto& item : event.items) {
-        for (const auto& [model, spec] : state.doc->models) {
-            if (spec.versions.contains(item.version)) {
-                state.sufficiency.record(item.route, model, item.score >= sufficient_score);
-            }
-        }
-    }
+    rollouts.on_ratings(event);
 }
 
 void node_core::parts::on(const peer_frame& event, time_point now, std::vector<output>& out)
@@ -247,6 +242,7 @@
     const auto& from = frame.from;
     if (const auto* m = std::get_if<heartbeat_message>(&message)) {
         membership.on_heartbeat(frame, *m, now, out);
+        rollouts.on_evidence(m->evidence);
     }
     else if (const auto* ended = std::get_if<ended_message>(&message)) {
         if (membership.was_removed(*ended)) {
@@ -387,6 +383,7 @@
     p.membership.tick(now, out);
     p.configuration.tick(now, out);
     p.streams.tick(now, out);
+    p.rollouts.tick(p.streams.keepers().at(duty::rollout).authority(now), now, out);
     p.chats.tick(now, out);
     p.services.tick(now, out);
     p.bills.tick(now, out);
--- a/src/node/node_core_test.cpp
+++ b/src/node/node_core_test.cpp
@@ -29,6 +29,19 @@
         out.idempotency_key = key;
         return out;
     }
+    /// Exposed share of a version on each VM, in basis points.
+    std::vector<int> exposed_shares(const std::string& version)
+    {
+        std::vector<int> out;
+        for (const std::string vm : {"a1", "a2", "a3", "b1", "b2"}) {
+            for (const auto& entry : (*net_.state(vm).status)["versions"]) {
+                if (entry["version"] == version) {
+                    out.push_back(entry["exposed_basis_points"]);
+                }
+            }
+        }
+        return out;
+    }
     std::size_t runs() const { return net_.executions().size(); }
 
     test_deployment net_{{"a1", "a2", "a3", "b1", "b2"}};
@@ -278,6 +291,68 @@
               held.value + " " + other.value + " withdrawn");
 }
 
+// A document in which "good-2" rolls out in two stages.
+document rolling_document(cut_off_policy when_cut_off)
+{
+    auto doc = test_document();
+    auto& version = doc.models.at(model_id{"good"}).versions[version_id{"good-2"}];
+    version.state = version_state::rolling;
+    version.when_cut_off = when_cut_off;
+    version.rollout = {{2000, 0, 2s}, {10000, 0, 1h}};
+    for (auto& [id, upstream] : doc.upstreams) {
+        if (upstream.kind == upstream_kind::engine) {
+            upstream.versions.push_back(version_id{"good-2"});
+        }
+    }
+    return doc;
+}
+
+// Guards against a roll-out that nobody advances, or that each VM advances on its own.
+TEST_F(node_core_test, rolling_version_is_exposed_in_steps_everywhere_alike)
+{
+    net_.submit(rolling_document(cut_off_policy::stop));
+    net_.run_for(4s);
+    const auto first = exposed_shares("good-2");
+    EXPECT_EQ(first, std::vector<int>(5, 2000));
+    for (int i = 0; i < 40; ++i) {
+        net_.call("a1", test_chat("report"));
+        net_.run_for(100ms);
+    }
+    net_.run_for(10s);
+    EXPECT_EQ(exposed_shares("good-2"), std::vector<int>(5, 10000));
+}
+
+// Guards against a bad version that keeps its exposure.
+TEST_F(node_core_test, failing_version_is_halted_everywhere)
+{
+    net_.failing = {version_id{"good-2"}};
+    net_.submit(rolling_document(cut_off_policy::stop));
+    net_.run_for(4s);
+    int failed = 0;
+    for (int i = 0; i < 150; ++i) {
+        auto& answer = net_.call(i % 2 == 0 ? "a1" : "a2", test_chat("report"));
+        net_.run_for(100ms);
+        failed += answer.failure ? 1 : 0;
+    }
+    net_.run_for(5s);
+    EXPECT_EQ(exposed_shares("good-2"), std::vector<int>(5, 0)) << failed << " requests failed.";
+}
+
+// Guards against exposure to a version whose halt or withdrawal cannot be heard any more.
+TEST_F(node_core_test, cut_off_vm_stops_rolling_versions_and_serves_settled_ones)
+{
+    net_.submit(rolling_document(cut_off_policy::stop));
+    net_.run_for(20s);
+    net_.log_away = true;
+    net_.run_for(10s);
+    for (int i = 0; i < 20; ++i) {
+        auto& answer = net_.call("a1", test_chat("report"));
+        net_.run_for(100ms);
+        ASSERT_FALSE(answer.failure) << answer.failure->detail;
+        EXPECT_EQ(answer.version, "good-1");
+    }
+}
+
 // Guards against a planned stop that cuts off requests or loses their bills.
 TEST_F(node_core_test, planned_stop_finishes_requests_and_hands_bills_over)
 {
--- a/src/node/peer_messages.cpp
+++ b/src/node/peer_messages.cpp
@@ -142,6 +142,19 @@
     return {j.at(0), model_id{j.at(1)}, {vm_id{j.at(2)}, j.at(3)}, j.at(4), j.at(5), j.at(6)};
 }
 
+json encode_evidence(const evidence_entry& e)
+{
+    return {e.from.vm.value, e.from.run,    e.version.value,  e.counts.answers,
+            e.counts.errors, e.counts.slow, e.counts.ratings, e.counts.insufficient};
+}
+
+evidence_entry decode_evidence(const json& j)
+{
+    return {{vm_id{j.at(0)}, j.at(1)},
+            version_id{j.at(2)},
+            {j.at(3), j.at(4), j.at(5), j.at(6), j.at(7)}};
+}
+
 json encode_record(const log_record& r)
 {
     return {r.offset, binary(r.data)};
@@ -225,6 +238,7 @@
     out.in_force = j.at(4);
     out.confirmed_age = optional_duration(j.at(5));
     out.ready = j.at(6);
+    out.evidence = list_of<evidence_entry>(j.at(7), decode_evidence);
     return out;
 }
 
@@ -311,7 +325,7 @@
 {
     return make({list(m.members, encode_member), list(m.upstreams, encode_report),
                  list(m.shares, encode_share), list(m.ratings, encode_cell), m.in_force,
-                 optional_ms(m.confirmed_age), m.ready});
+                 optional_ms(m.confirmed_age), m.ready, list(m.evidence, encode_evidence)});
 }
 
 json_ptr encode_peer_message(const ended_message& m)
--- a/src/node/peer_messages.hpp
+++ b/src/node/peer_messages.hpp
@@ -10,6 +10,7 @@
 #include "membership/upstream_table.hpp"
 #include "membership/vm_table.hpp"
 #include "node/messages.hpp"
+#include "rollout/evidence.hpp"
 #include "routing/replica_pool.hpp"
 #include "session/ticket.hpp"
 
@@ -67,6 +68,7 @@
     std::vector<upstream_report> upstreams;
     std::vector<replica_share> shares;
     std::vector<sufficiency_cell> ratings;
+    std::vector<evidence_entry> evidence; ///< of versions that are rolling out and their baselines
     revision in_force{0};
     std::optional<duration> confirmed_age;
     bool ready{false};
--- a/src/node/runtime/output_router.cpp
+++ b/src/node/runtime/output_router.cpp
@@ -215,14 +215,6 @@
     static_cast<void>(push(io_duty::peers, out));
 }
 
-void output_router::take(identity_changed&& message)
-{
-    output out{std::move(message)};
-    if (!push(io_duty::peers, out)) {
-        keep(io_duty::peers, std::move(out));
-    }
-}
-
 void output_router::take(stopped&& /*message*/)
 {
     has_stopped_ = true;
--- a/src/node/runtime/output_router.hpp
+++ b/src/node/runtime/output_router.hpp
@@ -69,7 +69,6 @@
     void take(log_append&& message);
     void take(log_follow&& message);
     void take(peer_send&& message);
-    void take(identity_changed&& message);
     void take(stopped&& message);
 
     rings rings_;
--- a/src/node/test_deployment.cpp
+++ b/src/node/test_deployment.cpp
@@ -294,6 +294,11 @@
         later(service_time, vm, done);
         return;
     }
+    if (std::find(failing.begin(), failing.end(), start.version) != failing.end()) {
+        later(service_time, vm,
+              failure_of(start, error_code::upstream_failed, run_state::outcome_unknown, 0));
+        return;
+    }
     if (start.kind == attempt_kind::chat) {
         executions_.push_back({start.upstream, start.version, {}, {}});
         generations_[start.generation] = {answer_tokens, start.version};
@@ -389,8 +394,6 @@
     later(peer_delay, out.to.value, frame);
 }
 
-void test_deployment::on(const std::string& /*vm*/, const identity_changed& /*out*/) {}
-
 void test_deployment::on(const std::string& vm, const stopped& /*out*/)
 {
     nodes_.at(vm).stopped = true;
--- a/src/node/test_deployment.hpp
+++ b/src/node/test_deployment.hpp
@@ -63,6 +63,7 @@
     bool lose_log_replies{false};         ///< appends take effect, their replies are lost
     std::vector<upstream_id> silent;      ///< accept work and never answer
     std::vector<upstream_id> unreachable; ///< refuse connections
+    std::vector<version_id> failing;      ///< versions whose attempts fail before the first token
     std::vector<std::string> cut_off;     ///< VMs without peers and log
     std::uint64_t break_stream_after{0};  ///< tokens after which the next stream breaks once
     duration service_time{20ms};
@@ -136,7 +137,6 @@
     void on(const std::string& vm, const log_append& out);
     void on(const std::string& vm, const log_follow& out);
     void on(const std::string& vm, const peer_send& out);
-    void on(const std::string& vm, const identity_changed& out);
     void on(const std::string& vm, const stopped& out);
 
     manual_clock clock_;
--- a/src/request/chat_dispatch.cpp
+++ b/src/request/chat_dispatch.cpp
@@ -165,6 +165,13 @@
     outcome.first_token = attempt.first_token.value_or(now) - attempt.sent;
     outcome.total = now - attempt.sent;
     outcome.predicted = attempt.predicted;
+    if (result != attempt_result::cancelled) {
+        auto& counts = state_.own_evidence[attempt.version];
+        ++counts.answers;
+        counts.errors += result == attempt_result::failed ? 1 : 0;
+        const auto target = request.route.first_token;
+        counts.slow += target > duration::zero() && outcome.first_token > target ? 1 : 0;
+    }
     if (state_.pool.finish(attempt.ticket, outcome, now)) {
         state_.counters.count("ejections_total").add();
     }
@@ -183,7 +190,9 @@
         return;
     }
     const auto& spec = state_.pool.view(request.attempt->ticket.replica).spec;
-    out.emplace_back(attempt_cancel{request.attempt->id, spec.address});
+    out.emplace_back(
+        attempt_cancel{request.attempt->id, spec.address,
+                       generation_name(request.facts.id, request.attempt->generation)});
     end_attempt(request, attempt_result::cancelled, now);
 }
 
--- a/src/rollout/evidence.cpp
+++ b/src/rollout/evidence.cpp
@@ -105,6 +105,17 @@
     return out;
 }
 
+std::vector<evidence_entry> evidence_pool::entries() const
+{
+    std::vector<evidence_entry> out;
+    for (const auto& [version, processes] : counts_) {
+        for (const auto& [process, counts] : processes) {
+            out.push_back({process, version, counts});
+        }
+    }
+    return out;
+}
+
 evidence_verdict judge_evidence(const version_counts& fresh, const version_counts& baseline,
                                 double declared_quality, const evidence_settings& settings)
 {
--- a/src/rollout/evidence.hpp
+++ b/src/rollout/evidence.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 // Evidence for or against a version that is rolling out, pooled over VMs.
 //
@@ -28,11 +29,22 @@
     friend bool operator==(const version_counts&, const version_counts&) = default;
 };
 
+/// Counts of one process, as VMs share them.
+struct evidence_entry {
+    process_id from;
+    version_id version;
+    version_counts counts;
+
+    friend bool operator==(const evidence_entry&, const evidence_entry&) = default;
+};
+
 /// The latest counts of each process; counts of a process only grow, so late reports are harmless.
 class evidence_pool {
 public:
     void set(const process_id& from, const version_id& version, const version_counts& counts);
     [[nodiscard]] version_counts total(const version_id& version) const;
+    /// Everything known, for passing on.
+    [[nodiscard]] std::vector<evidence_entry> entries() const;
 
 private:
     std::map<version_id, std::map<process_id, version_counts>> counts_;
