--- a/bench/routing/report.cpp
+++ b/bench/routing/report.cpp
@@ -191,7 +191,7 @@
         {"no_affinity", [](scenario& plan) { plan.affinity = false; }},
         {"affinity_bound_1.5", [](scenario& plan) { plan.chooser.affinity_load_bound = 1.5; }},
         {"affinity_bound_2", [](scenario& plan) { plan.chooser.affinity_load_bound = 2; }},
-        {"doubtful_0.8", [](scenario& plan) { plan.chooser.doubtful_value = 0.8; }},
+        {"doubtful_0.5", [](scenario& plan) { plan.chooser.doubtful_value = 0.5; }},
         {"doubtful_1", [](scenario& plan) { plan.chooser.doubtful_value = 1; }},
         {"mirrored_0", [](scenario& plan) { plan.chooser.mirrored_share = 0; }},
         {"mirrored_0.5", [](scenario& plan) { plan.chooser.mirrored_share = 0.5; }},
@@ -199,6 +199,7 @@
         {"region_after_250ms", [](scenario& plan) { plan.chooser.region_after = 250ms; }},
         {"remote_after_100ms", [](scenario& plan) { plan.chooser.remote_after = 100ms; }},
         {"remote_after_500ms", [](scenario& plan) { plan.chooser.remote_after = 500ms; }},
+        {"route_target", [](scenario& plan) { plan.route_target = true; }},
         {"cost_weight_0", [](scenario& plan) { plan.chooser.cost_weight = 0; }},
     };
     for (const double load : {0.5, 0.9, 1.2}) {
--- a/bench/routing/simulation.cpp
+++ b/bench/routing/simulation.cpp
@@ -227,6 +227,9 @@
         wanted.request_bytes = type.prompt_tokens * bytes_per_token;
         wanted.answer_bytes = type.answer_tokens * bytes_per_token;
         wanted.cost_per_1k_input = world_.place.models[type.model].per_1k_input;
+        if (world_.plan.route_target) {
+            wanted.first_token_target = type.first_token_target;
+        }
         if (world_.plan.affinity) {
             wanted.prefix_hashes = *request->prefix;
         }
@@ -420,15 +423,15 @@
         }
         for (std::size_t i = 0; i < world_.engines.size(); ++i) {
             const load_report load{world_.engines[i]->running(), world_.engines[i]->waiting(), {}};
-            const auto [stored, evicted] = world_.engines[i]->take_cache_events();
+            const auto changes = world_.engines[i]->take_cache_events();
             const bool gap = std::bernoulli_distribution{cache_gap_share}(world_.generator);
             for (const auto& vm : vms_) {
                 const duration lag = vm->report_lag(i);
                 world_.events.after(lag, [&vm, i, load, lag] {
                     vm->report(i, {load.running, load.waiting, lag});
                 });
-                world_.events.after(cache_event_lag, [&vm, i, gap, stored, evicted] {
-                    vm->cache_events(i, gap, stored, evicted);
+                world_.events.after(cache_event_lag, [&vm, i, gap, changes] {
+                    vm->cache_events(i, gap, changes.first, changes.second);
                 });
             }
         }
--- a/bench/routing/simulation.hpp
+++ b/bench/routing/simulation.hpp
@@ -22,6 +22,8 @@
     duration length{120s};
     bool admission{true}; ///< off: everything is dispatched at once
     bool affinity{true};  ///< off: no prefixes are given to the chooser
+    /// Gives the route's first-token target to the chooser instead of its own threshold.
+    bool route_target{false};
 };
 
 struct run_result {
