--- a/src/net/upstream_client_test.cpp
+++ b/src/net/upstream_client_test.cpp
@@ -288,7 +288,7 @@
 {
     const attempt_id id = chat().attempt;
     scripted_connection& engine = receive(chat());
-    client_->handle(attempt_cancel{id, listener_.address});
+    client_->handle(attempt_cancel{id, listener_.address, {}});
     ASSERT_TRUE(pump_until([&] { return listener_.connections.size() == 2; }));
     ASSERT_TRUE(pump_until([&] {
         return listener_.connections.back()->received.starts_with(
--- a/src/node/rollout_control.cpp
+++ b/src/node/rollout_control.cpp
@@ -100,6 +100,30 @@
     out.emplace_back(std::move(order));
 }
 
+void rollout_control::append(const rollout_record& record, std::vector<output>& out)
+{
+    state_.append(
+        rollout_stream, {encode_rollout_record(record)},
+        [](const auto&, time_point, std::vector<output>&) {}, out);
+}
+
+void rollout_control::refresh_records(log_offset fencing, time_point now, std::vector<output>& out)
+{
+    if (now < next_refresh_) {
+        return;
+    }
+    const bool first = next_refresh_ == time_point{};
+    next_refresh_ = now + state_.settings.log_retention / 4;
+    if (first) {
+        return; // a holder that has just started need not repeat what it has just read
+    }
+    for (const auto& [version, progress] : state_.rollouts.all()) {
+        const auto kind = progress.halted ? rollout_record_kind::halt : rollout_record_kind::step;
+        append({kind, version, progress.step, fencing, progress.halt_reason, progress.halted_by},
+               out);
+    }
+}
+
 void rollout_control::order_load(const rollout_facts& facts, time_point now,
                                  std::vector<output>& out)
 {
@@ -162,9 +186,7 @@
                 state_.counters
                     .count("rollout_records_total", {{"kind", std::string{name_of(record->kind)}}})
                     .add();
-                state_.append(
-                    rollout_stream, {encode_rollout_record(*record)},
-                    [](const auto&, time_point, std::vector<output>&) {}, out);
+                append(*record, out);
             }
             if (facts.fencing && !facts.progress.halted && !facts.capacity_ready) {
                 order_load(facts, now, out);
@@ -173,6 +195,7 @@
     }
     if (held_) {
         order_withdrawals(*held_, now, out);
+        refresh_records(*held_, now, out);
     }
 }
 
--- a/src/node/rollout_control.hpp
+++ b/src/node/rollout_control.hpp
@@ -31,6 +31,9 @@
     [[nodiscard]] std::vector<load_candidate> candidates_for(const version_id& version) const;
     void order_load(const rollout_facts& facts, time_point now, std::vector<output>& out);
     void order_withdrawals(log_offset fencing, time_point now, std::vector<output>& out);
+    /// Appends the current steps and halts again before they expire, for VMs that start later.
+    void refresh_records(log_offset fencing, time_point now, std::vector<output>& out);
+    void append(const rollout_record& record, std::vector<output>& out);
     void send_order(const upstream_id& upstream, const std::string& action,
                     const version_id& version, log_offset fencing, std::vector<output>& out);
 
@@ -41,6 +44,7 @@
     std::optional<log_offset> held_;
     time_point held_since_;
     time_point next_look_;
+    time_point next_refresh_;
     std::uint64_t next_order_{1};
 };
 
--- a/src/node/test_deployment.cpp
+++ b/src/node/test_deployment.cpp
@@ -219,6 +219,15 @@
     return nodes_.at(vm).registry->count(name, labels).value();
 }
 
+std::size_t test_deployment::records_written() const
+{
+    std::size_t out = 0;
+    for (const auto& [name, records] : streams_) {
+        out += records.size();
+    }
+    return out;
+}
+
 test_answer* test_deployment::answer_for(const std::string& vm, caller_token caller)
 {
     const auto it = answers_.find({vm, caller});
--- a/src/node/test_deployment.hpp
+++ b/src/node/test_deployment.hpp
@@ -81,6 +81,8 @@
     }
     [[nodiscard]] std::uint64_t counter_of(const std::string& vm, const std::string& name,
                                            const metric_labels& labels = {});
+    /// Records of all streams.
+    [[nodiscard]] std::size_t records_written() const;
     [[nodiscard]] revision submitted_revision() const { return revision_; }
     [[nodiscard]] time_point now() const { return clock_.now(); }
     [[nodiscard]] std::size_t peer_bytes(const std::string& vm) const
