Refuse new requests after the grace of a planned stop

Ruled out: the callers thread, which waits 5 s for the ends of answers. Change: the grace counts only while draining. A full claim outbox is now refused by claim_flow::not_submitted, which says not_run only where that is certain. Before: the new test was not there.

--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -94,7 +94,9 @@
                                                    time_point now) const
 {
     const auto& self = state.self().vm.value;
-    if (phase != stop_phase::running && now >= stop_at) {
+    // stop_at bounds the grace of draining only; the later phases use it for their own ends.
+    const bool grace = phase == stop_phase::draining && now < stop_at;
+    if (phase != stop_phase::running && !grace) {
         return error{error_code::shutting_down,
                      step::shutdown,
                      self,
--- a/src/node/node_core_test.cpp
+++ b/src/node/node_core_test.cpp
@@ -372,6 +372,27 @@
     EXPECT_EQ(ledger().bill_ids(), 3U);
 }
 
+// Guards against requests that are admitted after the grace period and cut off by the end of the
+// process: the time bound of handing over was once taken for that of the grace.
+TEST_F(node_core_test, request_after_the_grace_of_a_stop_is_refused_as_not_run)
+{
+    net_.log_away = true;
+    net_.call("a1", test_chat("report"));
+    net_.run_for(100ms);
+    net_.stop("a1");
+    for (int i = 0; i < 60; ++i) {
+        net_.run_for(100ms);
+        auto& answer = net_.call("a1", test_chat("report", true));
+        net_.run_for(200ms);
+        const bool refused = answer.failure && answer.failure->run == run_state::not_run;
+        if (!net_.has_stopped("a1")) {
+            EXPECT_TRUE(refused || answer.ended)
+                << "The answer was cut off " << i * 300 << " ms after the stop.";
+        }
+    }
+    EXPECT_TRUE(net_.has_stopped("a1")) << "New requests must not keep a stopping VM alive.";
+}
+
 // Guards against a booting VM serving an empty or outdated configuration by itself.
 TEST_F(node_core_test, vm_that_boots_alone_without_the_log_is_not_ready)
 {
--- a/src/request/service_requests.cpp
+++ b/src/request/service_requests.cpp
@@ -228,12 +228,9 @@
         break;
     case claim_action_kind::submit:
         if (!state_.claim_items.add(action.claim, now)) {
-            request.claim->abandon();
+            const auto refusal = request.claim->not_submitted(confirmation());
             request.claim.reset();
-            fail(it,
-                 call_error(error_code::claim_unavailable, step::claim, {}, run_state::not_run,
-                            "Too many claims wait for the log."),
-                 now, out);
+            fail(it, refusal.reason, now, out);
         }
         break;
     case claim_action_kind::send:
