Send all upstream reports once, to ring neighbours only, and look up probe shares once an interval

Cause: a heartbeat carried the reports of all upstreams to every peer that this VM had not heard from directly, and random peers are heard from late; and the rendezvous share of every upstream was computed at each tick.

--- a/src/membership/upstream_table.cpp
+++ b/src/membership/upstream_table.cpp
@@ -85,10 +85,14 @@
 {
     std::vector<probe_upstream> out;
     for (auto& [id, record] : records_) {
-        if (record.next_probe > now || !probes(id, record.spec, domain_members)) {
+        if (record.next_probe > now) {
             continue;
         }
+        // Whose share an upstream is in is looked up once an interval, not at each tick.
         record.next_probe = now + settings_.probe_interval;
+        if (!probes(id, record.spec, domain_members)) {
+            continue;
+        }
         out.push_back({id, record.spec.address, record.spec.kind == upstream_kind::engine});
     }
     return out;
--- a/src/node/membership_control.cpp
+++ b/src/node/membership_control.cpp
@@ -190,9 +190,15 @@
         message.upstreams = state_.upstreams.take_deltas(now);
         message.shares = state_.pool.take_shares();
         message.ratings = state_.sufficiency.own_cells();
+        // All reports go to a ring neighbour once. Random peers have neighbours of their own.
+        auto neighbours = membership_settings{}.ring_neighbours;
         for (const auto& target : state_.vms.heartbeat_targets(state_.generator)) {
             auto full = message;
-            if (!peers_.contains(target.process.vm)) {
+            const bool neighbour = neighbours > 0;
+            neighbours -= neighbour ? 1 : 0;
+            auto& introduced = introduced_[target.process.vm];
+            if (neighbour && (introduced != target.process.run || target.process.run == 0)) {
+                introduced = target.process.run;
                 full.upstreams = state_.upstreams.all_reports(now);
             }
             state_.send(target.process.vm, peer_message_kind::heartbeat, full, out);
--- a/src/request/chat_dispatch.cpp
+++ b/src/request/chat_dispatch.cpp
@@ -59,7 +59,6 @@
                                          ? static_cast<double>(request.message.max_tokens)
                                          : assumed_answer_tokens);
     query.cost_per_1k_input = in_force ? version->second.cost_per_1k_input : 0;
-    query.first_token_target = request.route.first_token;
     auto target = state_.chooser.choose(state_.pool, state_.prefixes, state_.link, query, now,
                                         state_.generator);
     if (!target && !request.tried.empty()) {
@@ -90,7 +89,6 @@
 {
     const auto& replica = state_.pool.view(target.replica);
     state_.link.spend(target.link_bytes, now);
-    state_.retry_credit.count_request(now);
     chat_attempt attempt;
     attempt.id = {request.facts.id, ++request.attempts_made};
     attempt.generation = attempt.id.number;
--- a/src/request/chat_requests.cpp
+++ b/src/request/chat_requests.cpp
@@ -168,6 +168,7 @@
         refuse(state_, message.caller, queued.error(), out);
         return;
     }
+    state_.retry_credit.count_request(now);
     const auto id = request->facts.id;
     by_caller_[message.caller] = id;
     by_sequence_[id.sequence] = id;
--- a/src/request/service_requests.cpp
+++ b/src/request/service_requests.cpp
@@ -88,6 +88,7 @@
 
 void service_requests::begin(service_request request, time_point now, std::vector<output>& out)
 {
+    state_.retry_credit.count_request(now);
     const auto id = request.facts.id;
     const auto guarantee = request.guarantee;
     if (!request.forwarded) {
@@ -292,7 +293,6 @@
     }
     const auto& replica = state_.pool.view(target->replica);
     state_.link.spend(target->link_bytes, now);
-    state_.retry_credit.count_request(now);
     request.attempt = attempt_id{request.facts.id, ++request.attempts_made};
     request.dispatched = state_.pool.begin(target->replica, now);
     request.sent = now;
