--- a/src/node/configuration_control.cpp
+++ b/src/node/configuration_control.cpp
@@ -7,6 +7,8 @@
 template<typename... Handlers> struct overloaded : Handlers... {
     using Handlers::operator()...;
 };
+// clang 14 does not deduce the arguments of an aggregate.
+template<typename... Handlers> overloaded(Handlers...) -> overloaded<Handlers...>;
 
 } // namespace
 
--- a/src/node/core_settings.hpp
+++ b/src/node/core_settings.hpp
@@ -25,7 +25,7 @@
     std::string cluster_key;                          ///< raw bytes
     std::string session_key;                          ///< raw bytes
     std::map<std::string, std::string> operator_keys; ///< operator -> raw Ed25519 public key
-    std::size_t bill_buffer_bytes{32 * 1024 * 1024};
+    std::size_t bill_buffer_bytes{std::size_t{32} * 1024 * 1024};
     duration log_retention{std::chrono::hours{24}};
     chooser_settings chooser;
     /// Rate of the paid link that this VM may use; the deployment's 30 Mb/s divided by its VMs.
--- a/src/node/stream_relay.hpp
+++ b/src/node/stream_relay.hpp
@@ -26,8 +26,8 @@
 struct relay_settings {
     duration poll_interval{1s};
     std::size_t cache_records{4096};
-    std::size_t cache_bytes{4 * 1024 * 1024};
-    std::size_t answer_bytes{512 * 1024}; ///< fits a peer frame
+    std::size_t cache_bytes{std::size_t{4} * 1024 * 1024};
+    std::size_t answer_bytes{std::size_t{512} * 1024}; ///< fits a peer frame
 };
 
 /// New records in order, each exactly once.
--- a/src/request/chat_requests.cpp
+++ b/src/request/chat_requests.cpp
@@ -191,7 +191,7 @@
 {
     const auto vms = std::max<std::size_t>(1, state_.vms.domain_members().size());
     for (auto& [model, queue] : queues_) {
-        std::uint32_t slots = 0;
+        std::size_t slots = 0;
         const auto spec = state_.doc->models.find(model);
         if (spec == state_.doc->models.end()) {
             continue;
