--- a/src/request/chat_dispatch.cpp
+++ b/src/request/chat_dispatch.cpp
@@ -23,6 +23,16 @@
     return to_string(attempt_id{request, attempt});
 }
 
+bool is_in_force(const document& doc, const model_id& model, const version_id& version)
+{
+    const auto spec = doc.models.find(model);
+    if (spec == doc.models.end()) {
+        return false;
+    }
+    const auto found = spec->second.versions.find(version);
+    return found != spec->second.versions.end() && found->second.state != version_state::withdrawn;
+}
+
 bool has_fixed_sampling(const nlohmann::json& body)
 {
     const auto temperature = body.find("temperature");
@@ -34,13 +44,7 @@
 
 void chat_requests::dispatch(chat_request& request, time_point now, std::vector<output>& out)
 {
-    const auto& spec = state_.doc->models.find(request.choice.model);
-    const auto version = spec == state_.doc->models.end()
-                             ? std::map<version_id, version_spec>::const_iterator{}
-                             : spec->second.versions.find(request.version);
-    const bool in_force = spec != state_.doc->models.end() &&
-                          version != spec->second.versions.end() &&
-                          version->second.state != version_state::withdrawn;
+    const bool in_force = is_in_force(*state_.doc, request.choice.model, request.version);
     if (!in_force) {
         // The version was withdrawn while the request waited; it chooses again.
         if (auto entered = enter_step(request, request.step, now); !entered) {
@@ -58,7 +62,7 @@
         bytes_per_generated_token * (request.message.max_tokens > 0
                                          ? static_cast<double>(request.message.max_tokens)
                                          : assumed_answer_tokens);
-    query.cost_per_1k_input = in_force ? version->second.cost_per_1k_input : 0;
+    query.cost_per_1k_input = request.cost_per_1k_input;
     auto target = state_.chooser.choose(state_.pool, state_.prefixes, state_.link, query, now,
                                         state_.generator);
     if (!target && !request.tried.empty()) {
--- a/src/request/chat_requests.cpp
+++ b/src/request/chat_requests.cpp
@@ -12,12 +12,6 @@
 
 // Assumed length of an answer whose caller names no bound; settled when the answer is complete.
 constexpr std::uint32_t assumed_answer_tokens = 512;
-constexpr std::string_view end_of_request = "ended";
-
-error chat_error(error_code code, step at, std::string peer, run_state run, std::string detail)
-{
-    return error{code, at, std::move(peer), run, std::move(detail), {}};
-}
 
 } // namespace
 
@@ -32,8 +26,8 @@
     const model_id model{message.model};
     if (!state_.doc->models.contains(model)) {
         return tl::unexpected(
-            chat_error(error_code::unknown_model, step::route, {}, run_state::not_run,
-                       "No route or model has the name \"" + message.model + "\"."));
+            request_error(error_code::unknown_model, step::route, {}, run_state::not_run,
+                          "No route or model has the name \"" + message.model + "\"."));
     }
     route_spec single;
     single.steps = {model};
@@ -140,6 +134,9 @@
     request.step = step;
     request.choice = std::move(*choice);
     request.version = pick_version(request.choice.candidates, state_.generator());
+    const auto& prices = state_.doc->models.at(request.choice.model).versions.at(request.version);
+    request.cost_per_1k_input = prices.cost_per_1k_input;
+    request.cost_per_1k_output = prices.cost_per_1k_output;
     request.buffered.clear();
     request.next_index = 0;
     request.tried.clear();
@@ -225,9 +222,9 @@
         for (const auto& expired : queue.expire(now)) {
             const auto it = requests_.find(by_sequence_.at(expired.token));
             fail(it,
-                 chat_error(error_code::deadline_unreachable, step::admit, model.value,
-                            run_state::not_run,
-                            "The request waited too long to be answered within its deadline."),
+                 request_error(error_code::deadline_unreachable, step::admit, model.value,
+                               run_state::not_run,
+                               "The request waited too long to be answered within its deadline."),
                  now, out);
         }
         while (auto entry = queue.next(now)) {
@@ -270,9 +267,9 @@
         // is resumed over another one.
         break_attempt(*request, now);
         retry_or_fail(requests_.find(event.attempt.request),
-                      chat_error(error_code::stream_broken, step::stream,
-                                 request->broken->upstream.value, run_state::outcome_unknown,
-                                 "The upstream's stream skipped tokens."),
+                      request_error(error_code::stream_broken, step::stream,
+                                    request->broken->upstream.value, run_state::outcome_unknown,
+                                    "The upstream's stream skipped tokens."),
                       now, out);
         return;
     }
@@ -312,9 +309,10 @@
     start.caller = request.facts.caller;
     start.request = request.facts.id;
     start.version = request.version;
+    // The token names the model that was asked for, also when a replacement belongs to another.
     const session_token token{request.facts.team,
                               request.choice.session,
-                              request.choice.model,
+                              request.route.steps.at(request.step),
                               request.version,
                               state_.configuration.fold().current_revision(),
                               state_.settings.wall_ms()};
@@ -328,20 +326,10 @@
 }
 
 void chat_requests::add_line(chat_request& request, std::uint64_t prompt_tokens,
-                             std::uint64_t generated_tokens) const
+                             std::uint64_t generated_tokens)
 {
-    // Prices are those in force when the step began; a version that has gone since costs nothing
-    // more than its tokens, which stay on the line.
-    micro_cost cost = 0;
-    const auto model = state_.doc->models.find(request.choice.model);
-    if (model != state_.doc->models.end()) {
-        const auto version = model->second.versions.find(request.version);
-        if (version != model->second.versions.end()) {
-            cost =
-                attempt_cost(version->second.cost_per_1k_input, version->second.cost_per_1k_output,
-                             prompt_tokens, generated_tokens);
-        }
-    }
+    const auto cost = attempt_cost(request.cost_per_1k_input, request.cost_per_1k_output,
+                                   prompt_tokens, generated_tokens);
     request.lines.push_back(
         {request.version, request.attempt->upstream, prompt_tokens, generated_tokens, cost});
 }
@@ -357,9 +345,9 @@
     if (event.generated_tokens > request->next_index) {
         break_attempt(*request, now);
         retry_or_fail(it,
-                      chat_error(error_code::stream_broken, step::stream,
-                                 request->broken->upstream.value, run_state::outcome_unknown,
-                                 "The upstream ended its stream before its last token."),
+                      request_error(error_code::stream_broken, step::stream,
+                                    request->broken->upstream.value, run_state::outcome_unknown,
+                                    "The upstream ended its stream before its last token."),
                       now, out);
         return;
     }
@@ -453,7 +441,7 @@
                           {1.0, static_cast<double>(request.next_index),
                            static_cast<double>(total_cost(created)) / 1e6},
                           now);
-    state_.counters.count("callers_gone_total", {{"request", std::string{end_of_request}}}).add();
+    state_.counters.count("callers_gone_total").add();
     if (!created.lines.empty()) {
         gate_.hold(state_, created, answer_end{caller, "cancelled", 0, request.next_index, 0}, now);
     }
@@ -480,9 +468,9 @@
             const auto run =
                 request.attempts_made > 0 ? run_state::outcome_unknown : run_state::not_run;
             fail(it,
-                 chat_error(error_code::upstream_timeout, step::dispatch,
-                            request.attempt ? request.attempt->upstream.value : std::string{}, run,
-                            "The request was not answered within its deadline."),
+                 request_error(error_code::upstream_timeout, step::dispatch,
+                               request.attempt ? request.attempt->upstream.value : std::string{},
+                               run, "The request was not answered within its deadline."),
                  now, out);
             continue;
         }
--- a/src/request/chat_requests.hpp
+++ b/src/request/chat_requests.hpp
@@ -43,6 +43,9 @@
     std::size_t step{0};
     session_choice choice;
     version_id version;
+    /// Prices of `version` when the step began; a change meanwhile does not alter the bill.
+    double cost_per_1k_input{0};
+    double cost_per_1k_output{0};
     model_id queue;                      ///< model whose admission queue counts this request
     std::optional<queue_entry> admitted; ///< as it left the queue
     time_point admitted_at;
@@ -100,8 +103,8 @@
     void end_attempt(chat_request& request, attempt_result result, time_point now);
     /// Ends a failed attempt and keeps it for a resume.
     void break_attempt(chat_request& request, time_point now);
-    void add_line(chat_request& request, std::uint64_t prompt_tokens,
-                  std::uint64_t generated_tokens) const;
+    static void add_line(chat_request& request, std::uint64_t prompt_tokens,
+                         std::uint64_t generated_tokens);
     void complete(requests::iterator it, const attempt_finished& event, time_point now,
                   std::vector<output>& out);
     void fail(requests::iterator it, error reason, time_point now, std::vector<output>& out);
--- a/src/request/request_common.cpp
+++ b/src/request/request_common.cpp
@@ -6,6 +6,11 @@
 
 namespace wagtailhitch {
 
+error request_error(error_code code, step at, std::string peer, run_state run, std::string detail)
+{
+    return error{code, at, std::move(peer), run, std::move(detail), {}};
+}
+
 void refuse(core_state& state, caller_token caller, error reason, std::vector<output>& out)
 {
     state.counters
--- a/src/request/request_common.hpp
+++ b/src/request/request_common.hpp
@@ -20,6 +20,9 @@
     bool caller_gone{false};
 };
 
+/// An error of a request's path, without retry_after.
+error request_error(error_code code, step at, std::string peer, run_state run, std::string detail);
+
 /// Refuses or fails a request towards its caller and counts the reason.
 void refuse(core_state& state, caller_token caller, error reason, std::vector<output>& out);
 
--- a/src/request/service_requests.cpp
+++ b/src/request/service_requests.cpp
@@ -8,16 +8,6 @@
 
 namespace {
 
-error call_error(error_code code, step at, std::string peer, run_state run, std::string detail)
-{
-    return error{code, at, std::move(peer), run, std::move(detail), {}};
-}
-
-std::uint64_t digest_of(const caller_request& message)
-{
-    return make_request_digest(message.service, message.call, message.payload);
-}
-
 call_guarantee guarantee_of(const caller_request& message, const call_spec& call)
 {
     if (!message.ticket.empty()) {
@@ -31,6 +21,11 @@
 
 } // namespace
 
+std::uint64_t digest_of(const caller_request& message)
+{
+    return make_request_digest(message.service, message.call, message.payload);
+}
+
 service_requests::service_requests(core_state& state, bill_gate& gate) : state_{state}, gate_{gate}
 {
 }
@@ -49,20 +44,10 @@
             return call->second;
         }
     }
-    return tl::unexpected(call_error(error_code::unknown_service, step::route, {},
-                                     run_state::not_run,
-                                     "No service \"" + message.service + "\" with a call \"" +
-                                         message.call + "\" is declared."));
-}
-
-void service_requests::issue_ticket(const caller_request& message, const team_id& team,
-                                    std::vector<output>& out)
-{
-    const auto issued = state_.tickets.issue(team, state_.settings.wall_ms());
-    nlohmann::json body;
-    body["ticket"] = wagtailhitch::issue_ticket(state_.settings.session_key, issued);
-    body["key_horizon_seconds"] = to_milliseconds(state_.settings.log_retention) / 1000;
-    out.emplace_back(answer_whole{message.caller, 200, "application/json", body.dump(), {}});
+    return tl::unexpected(request_error(error_code::unknown_service, step::route, {},
+                                        run_state::not_run,
+                                        "No service \"" + message.service + "\" with a call \"" +
+                                            message.call + "\" is declared."));
 }
 
 void service_requests::start(const caller_request& message, const team_id& team, time_point now,
@@ -117,109 +102,6 @@
     }
 }
 
-void service_requests::begin_ticket(requests::iterator it, time_point now, std::vector<output>& out)
-{
-    auto& request = it->second;
-    auto used = verify_ticket(state_.settings.session_key, request.message.ticket);
-    if (!used) {
-        fail(it, used.error(), now, out);
-        return;
-    }
-    request.used_ticket = *used;
-    const auto decision = state_.tickets.begin(
-        *used, request.facts.team, digest_of(request.message), state_.vms.is_dead(used->owner));
-    switch (decision.kind) {
-    case ticket_verdict::run:
-        dispatch(it, now, out);
-        break;
-    case ticket_verdict::forward:
-        forward(it, now, out);
-        break;
-    case ticket_verdict::repeat:
-        answer_stored(it, decision.answer.status, decision.answer.content_type,
-                      decision.answer.payload, out);
-        break;
-    case ticket_verdict::refuse:
-        request.used_ticket.reset(); // the run that the ticket stands for is not this one's
-        fail(it, decision.reason, now, out);
-        break;
-    }
-}
-
-void service_requests::forward(requests::iterator it, time_point now, std::vector<output>& out)
-{
-    auto& request = it->second;
-    const auto owner = request.used_ticket->owner;
-    request.used_ticket.reset(); // only the owner keeps the ticket's state
-    if (request.forwarded) {
-        fail(it,
-             call_error(error_code::ticket_owner_gone, step::claim, owner.vm.value,
-                        run_state::outcome_unknown,
-                        "The ticket names another process than the one it was forwarded to."),
-             now, out);
-        return;
-    }
-    if (state_.vms.find(owner.vm) == nullptr) {
-        fail(it,
-             call_error(error_code::peer_unavailable, step::claim, owner.vm.value,
-                        run_state::outcome_unknown,
-                        "The VM that the ticket names is not known here."),
-             now, out);
-        return;
-    }
-    request.sent_on = next_forward_++;
-    by_forward_[request.sent_on] = request.facts.id;
-    const auto& m = request.message;
-    state_.send(owner.vm, peer_message_kind::ticket_forward,
-                ticket_forward_message{request.sent_on, m.ticket, request.facts.team.value,
-                                       m.service, m.call, m.payload, m.content_type,
-                                       request.facts.deadline - now},
-                out);
-}
-
-void service_requests::on_forward(const process_id& from, const ticket_forward_message& message,
-                                  time_point now, std::vector<output>& out)
-{
-    caller_request call;
-    call.kind = caller_request_kind::service_call;
-    call.ticket = message.ticket;
-    call.service = message.service;
-    call.call = message.name;
-    call.payload = message.payload;
-    call.content_type = message.content_type;
-    const auto spec = find_call(call);
-    if (!spec) {
-        state_.send(from.vm, peer_message_kind::ticket_answer,
-                    ticket_answer_message{message.call, spec.error(), {}}, out);
-        return;
-    }
-    service_request request;
-    request.facts = {state_.new_request_id(), 0, team_id{message.team}, now,
-                     now + std::min(message.time_left, state_.settings.default_deadline)};
-    request.message = std::move(call);
-    request.call = *spec;
-    request.guarantee = call_guarantee::ticket;
-    request.forwarded = forwarded_call{from.vm, message.call};
-    begin(std::move(request), now, out);
-}
-
-void service_requests::on_ticket_answer(const ticket_answer_message& message, time_point now,
-                                        std::vector<output>& out)
-{
-    const auto known = by_forward_.find(message.call);
-    if (known == by_forward_.end()) {
-        state_.counters.count("late_attempt_events_total").add();
-        return;
-    }
-    const auto it = requests_.find(known->second);
-    if (message.failure) {
-        fail(it, *message.failure, now, out);
-        return;
-    }
-    answer_stored(it, message.answer.status, message.answer.content_type, message.answer.payload,
-                  out);
-}
-
 void service_requests::act_on_claim(requests::iterator it, const claim_action& action,
                                     time_point now, std::vector<output>& out)
 {
@@ -490,8 +372,8 @@
     }
     request.claim.reset();
     fail(it,
-         call_error(error_code::caller_gone, step::claim, {}, run_state::not_run,
-                    "The caller closed its connection before the call was sent."),
+         request_error(error_code::caller_gone, step::claim, {}, run_state::not_run,
+                       "The caller closed its connection before the call was sent."),
          now, out);
 }
 
@@ -516,9 +398,10 @@
             continue;
         }
         const bool may_have_run = request.attempts_made > 0 || request.sent_on != 0;
-        auto late = call_error(error_code::upstream_timeout, step::dispatch, request.upstream.value,
-                               may_have_run ? run_state::outcome_unknown : run_state::not_run,
-                               "The call was not answered within its deadline.");
+        auto late =
+            request_error(error_code::upstream_timeout, step::dispatch, request.upstream.value,
+                          may_have_run ? run_state::outcome_unknown : run_state::not_run,
+                          "The call was not answered within its deadline.");
         const bool answer_is_kept = request.claim || request.used_ticket;
         if (request.attempt && answer_is_kept && !request.forwarded) {
             detach_caller(request, std::move(late), out);
--- a/src/request/service_requests.hpp
+++ b/src/request/service_requests.hpp
@@ -58,6 +58,9 @@
     std::optional<time_point> retry_at;
 };
 
+/// Digest of a call's service, name and payload, for telling a repeat from another request.
+std::uint64_t digest_of(const caller_request& message);
+
 class service_requests {
 public:
     service_requests(core_state& state, bill_gate& gate);
