--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -161,12 +161,9 @@
 {
     if (services.owns(event.attempt.request)) {
         services.on_finished(event, now);
-        bills.tick(now, out);
         return;
     }
     chats.on_finished(event, now, out);
-    // The end of the answer waits for the bill's copy, so it does not wait for the next tick too.
-    bills.tick(now, out);
 }
 
 void node_core::parts::on(const attempt_failed& event, time_point now, std::vector<output>& out)
