Give the fake log of the configuration tests its own name

Cause: src/base/test_log.hpp and src/config/test_log.hpp both defined wagtailhitch::test_log, so the linker merged two different classes into one. Ruled out: the folds themselves, which pass alone. A search for other types that are defined twice found only simulated_vm, which stands in anonymous namespaces.

--- a/src/config/fold_property_test.cpp
+++ b/src/config/fold_property_test.cpp
@@ -84,7 +84,7 @@
         }
     }
 
-    test_log log;
+    test_config_log log;
     std::size_t whole_rounds{0}; ///< rounds in which a valid change was complete
     std::size_t pick(std::size_t n) { return random_() % n; }
 
@@ -137,7 +137,7 @@
     {
         const auto length =
             log.records.size() - pick(std::min<std::size_t>(log.records.size(), 6) + 1);
-        test_log prefix{
+        test_config_log prefix{
             {log.records.begin(), log.records.begin() + static_cast<std::ptrdiff_t>(length)}};
         config_fold fold{keys_.settings()};
         prefix.read(fold);
--- a/src/config/fold_test.cpp
+++ b/src/config/fold_test.cpp
@@ -29,7 +29,7 @@
 
     test_keys keys_;
     config_fold fold_{keys_.settings()};
-    test_log log_;
+    test_config_log log_;
 };
 
 TEST_F(config_fold_test, first_change_takes_effect_at_offset_plus_one)
--- a/src/config/follow_test.cpp
+++ b/src/config/follow_test.cpp
@@ -102,7 +102,7 @@
 
     static constexpr duration step = 50ms;
     manual_clock clock;
-    test_log log;
+    test_config_log log;
     log_offset oldest{0};
     bool log_away{false};
     bool members_follow{true}; ///< membership notices dead VMs at once
--- a/src/config/test_log.hpp
+++ b/src/config/test_log.hpp
@@ -68,7 +68,7 @@
     return out;
 }
 
-struct test_log {
+struct test_config_log {
     std::vector<std::string> records;
 
     void append(const std::vector<std::string>& more)
