--- a/src/node/stream_control.cpp
+++ b/src/node/stream_control.cpp
@@ -284,7 +284,6 @@
     }
     // Four snapshots within the retention leave three spare when holders fail or are paused.
     next_snapshot_ = now + state_.settings.log_retention / 4;
-    last_snapshot_ = fold.current_revision();
     auto records = encode_snapshot(fold.snapshot(), state_.settings.cluster_key);
     if (!records) {
         state_.counters.count("snapshots_too_large_total").add();
--- a/src/node/stream_control.hpp
+++ b/src/node/stream_control.hpp
@@ -82,7 +82,6 @@
     fencing_number allocator_fencing_{0};
     time_point next_limit_report_;
     time_point next_snapshot_;
-    revision last_snapshot_{0};
 };
 
 } // namespace wagtailhitch
