--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -193,15 +193,13 @@
         answer_ = std::move(head);
     }
     const bool stream = flow_.admitted()->route->kind == repeat_kind::stream && facts.status == 200;
+    const std::string replica = flow_.placed() ? flow_.placed()->upstream.value : std::string{};
     auto step = flow_.on_head(facts, context_.clock());
     if (std::holds_alternative<relay_step>(step)) {
         mode_ = stream ? relay_mode::stream : relay_mode::whole;
         return;
     }
-    log_attempt_failed({facts.not_run || facts.misdirected ? error_code::upstream_refused
-                                                           : error_code::upstream_failed,
-                        facts.not_run ? run_state::not_run : run_state::ran,
-                        "status " + std::to_string(facts.status)});
+    log_answer_dropped(facts, replica);
     perform(std::move(step));
 }
 
@@ -415,6 +413,18 @@
                         {"detail", failure.detail}});
 }
 
+void proxied_exchange::log_answer_dropped(const replica_head& head, const std::string& replica)
+{
+    const bool refused = head.not_run || head.misdirected;
+    const std::string_view why = refused ? "refused" : head.status < 500 ? "doubted" : "failed";
+    context_.counters.count("proxied_answers_dropped_total", {{"why", std::string{why}}}).add();
+    context_.log.write("answer_dropped", {{"id", flow_.request().id},
+                                          {"replica", replica},
+                                          {"why", why},
+                                          {"status", head.status},
+                                          {"confidence", head.confidence.value_or(-1)}});
+}
+
 void proxied_exchange::log_finished(unsigned status, std::string_view outcome,
                                     std::string_view detail)
 {
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -76,6 +76,7 @@
     void on_deadline();
     void cancel_call();
     void end();
+    void log_answer_dropped(const replica_head& head, const std::string& replica);
     void log_attempt_failed(const attempt_failure& failure);
     void log_finished(unsigned status, std::string_view outcome, std::string_view detail);
     [[nodiscard]] detail::http_call make_call(const send_step& step) const;
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -29,8 +29,8 @@
 /// Requests above this multiple of a replica's slots wait longer there than a caller's retry takes.
 constexpr double overload = 2.0;
 constexpr duration shortest_retry_after = 100ms;
-/// Large models take longer for a prompt token; the largest sets the pace that is expected.
-constexpr double largest_model_pace = 3;
+/// Another VM can take the request at once.
+constexpr duration stop_retry_after = 10ms;
 
 /// A fixed permutation of 64-bit numbers that spreads chained identifiers over the index.
 std::uint64_t mix(std::uint64_t seed, std::uint64_t value)
@@ -67,7 +67,7 @@
       directory_{settings_.directory, settings_.regions}, pool_{settings_.pool},
       chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
       link_{{.bytes_per_second = settings_.link_bytes_per_second}, now}, retries_{settings_.retry},
-      sessions_swept_at_{now}
+      models_{settings_.models}, sessions_swept_at_{now}
 {
 }
 
@@ -306,6 +306,10 @@
         return tl::unexpected(
             refusal(error_code::not_ready, step::configure, std::move(why), shortest_retry_after));
     };
+    if (refusing_) {
+        return tl::unexpected(refusal(error_code::shutting_down, step::shutdown,
+                                      "The VM is shutting down.", stop_retry_after));
+    }
     if (!catalog_) {
         return unready("No configuration is known yet.");
     }
@@ -403,9 +407,42 @@
     return rollout->second.takes(admitted.point, in_touch(now), now) ? target : old_software();
 }
 
-std::size_t proxy_core::choose_model(const admission& admitted, const send_history& history) const
+duration proxy_core::expected_first_token(const version_id& version,
+                                          const proxied_request& request, std::size_t ladder,
+                                          std::size_t model, time_point now) const
+{
+    const double tokens = request.prompt_tokens * models_.pace(ladder, model);
+    std::optional<duration> best;
+    for (const auto distance : {locality::domain, locality::region}) {
+        for (const replica_index replica : pool_.members(version, distance)) {
+            if (!pool_.admits(replica, now)) {
+                continue;
+            }
+            const duration expected = chooser_.expected_first_token(
+                pool_, replica, static_cast<std::uint32_t>(tokens), now);
+            best = best ? std::min(*best, expected) : expected;
+        }
+    }
+    return best.value_or(duration::max());
+}
+
+std::optional<std::size_t> proxy_core::escalate(const admission& admitted,
+                                                const proxied_request& request,
+                                                const placement& placed, double confidence,
+                                                const send_history& history, time_point now)
 {
-    return history.model.value_or(admitted.route->models.size() - 1);
+    const proxy_route& route = *admitted.route;
+    if (!placed.model || history.model_fixed || history.sends >= route.maximum_sends ||
+        !repeats_left(admitted, now)) {
+        return std::nullopt;
+    }
+    const duration left = request.received_at + route.target_latency - now;
+    return models_.next(
+        route.models.size(), *placed.model, confidence,
+        [&](std::size_t model) {
+            return expected_first_token(placed.version, request, route.models.size(), model, now);
+        },
+        left);
 }
 
 std::optional<replica_index> proxy_core::home_of(const version_id& version,
@@ -434,9 +471,15 @@
     }
     const std::string software = choose_software(admitted, request, history, now);
     const version_id version = software_version(admitted.service, software);
-    std::optional<std::size_t> model;
-    if (!admitted.route->models.empty()) {
-        model = choose_model(admitted, history);
+    const std::size_t ladder = admitted.route->models.size();
+    std::optional<std::size_t> model = history.model;
+    if (ladder > 0 && !model) {
+        model = models_.first(
+            ladder,
+            [&](std::size_t it) {
+                return expected_first_token(version, request, ladder, it, now);
+            },
+            admitted.route->target_latency);
     }
     const auto chain = chain_of(request, model.value_or(0));
     const auto sizes = sizes_of(request);
@@ -448,7 +491,7 @@
     wanted.prompt_tokens = request.prompt_tokens;
     wanted.request_bytes = static_cast<double>(request.body_bytes);
     wanted.first_token_target = admitted.route->target_latency / 3;
-    wanted.prefill_pace = model && admitted.route->models.size() > 1 ? largest_model_pace : 1;
+    wanted.prefill_pace = model ? models_.pace(ladder, *model) : 1;
     if (!chain.empty()) {
         wanted.prefix_home = home_of(version, chain.back());
         wanted.home_blocks = static_cast<std::uint32_t>(chain.size());
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -3,6 +3,7 @@
 #include "base/error.hpp"
 #include "base/metrics.hpp"
 #include "proxy/catalog.hpp"
+#include "proxy/model_ladder.hpp"
 #include "proxy/peer_report.hpp"
 #include "proxy/replica_directory.hpp"
 #include "proxy/service_rollout.hpp"
@@ -71,6 +72,7 @@
     std::uint32_t sends{0};        ///< replicas that may have received it
     std::string software;          ///< set once part of an answer came from it
     std::optional<std::size_t> model; ///< index into the route's models, chosen before
+    bool model_fixed{false};          ///< the answer has begun, or a larger model was asked for
 };
 
 struct placement {
@@ -105,6 +107,7 @@
     pool_settings pool{};
     directory_settings directory{};
     service_rollout_settings rollout{};
+    model_ladder_settings models{};
     retry_settings retry{};
     std::size_t prefix_entries{std::size_t{16} * 1024};
     std::uint64_t seed{1};
@@ -146,7 +149,10 @@
     [[nodiscard]] peer_report make_report(time_point now);
     /// Applies what is due with time; states that this VM should publish now.
     std::vector<rollout_publication> tick(time_point now);
+    /// Reports not ready from now on.
     void begin_stop() { stopping_ = true; }
+    /// Refuses new requests, so that those in progress can end.
+    void refuse_new() { refusing_ = true; }
 
     // ---- requests
     /// Errors, all not_run: not_ready, unknown_path, unknown_team, shutting_down.
@@ -162,6 +168,12 @@
     void note_answer(const admission& admitted, const placement& placed, bool failed, bool slow);
     [[nodiscard]] retry_decision decide_retry(const admission& admitted,
                                               const failed_attempt& failure, time_point now);
+    /// Whether an answer that a model gave with this confidence goes to the caller; if not, the
+    /// request is to be asked again at the returned model.
+    [[nodiscard]] std::optional<std::size_t> escalate(const admission& admitted,
+                                                      const proxied_request& request,
+                                                      const placement& placed, double confidence,
+                                                      const send_history& history, time_point now);
     void spend_repeat(const admission& admitted, time_point now);
     [[nodiscard]] bool repeats_left(const admission& admitted, time_point now);
 
@@ -192,8 +204,9 @@
     [[nodiscard]] std::string choose_software(const admission& admitted,
                                               const proxied_request& request,
                                               const send_history& history, time_point now) const;
-    [[nodiscard]] std::size_t choose_model(const admission& admitted,
-                                           const send_history& history) const;
+    [[nodiscard]] duration expected_first_token(const version_id& version,
+                                                const proxied_request& request, std::size_t ladder,
+                                                std::size_t model, time_point now) const;
     [[nodiscard]] std::optional<replica_index> home_of(const version_id& version,
                                                        std::uint64_t prefix) const;
     retry_budget& budget_of(const std::string& service, time_point now);
@@ -208,12 +221,14 @@
     std::shared_ptr<const proxy_catalog> catalog_;
     time_point confirmed_at_{};
     bool stopping_{false};
+    bool refusing_{false};
     replica_directory directory_;
     replica_pool pool_;
     replica_chooser chooser_;
     prefix_index prefixes_;
     link_budget link_;
     retry_policy retries_;
+    model_ladder models_;
     std::map<std::string, retry_budget> budgets_;
     std::map<std::string, service_rollout> rollouts_;
     std::map<std::string, time_point> publication_due_;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -11,8 +11,9 @@
 constexpr duration refused_retry_after = 150ms;
 /// Shortest wait for the first byte of an answer before the replica counts as silent.
 constexpr duration shortest_head_timeout = 250ms;
-/// Part of a stream's latency target after which a replica without any answer counts as silent.
-constexpr double stream_head_share = 0.6;
+/// Multiple of a stream's latency target after which a replica without any answer counts as silent.
+/// Sooner, work of a loaded replica would be thrown away and asked for again.
+constexpr double stream_head_share = 1.2;
 /// Part of the target for plain requests, whose replicas answer in a fraction of it.
 constexpr double plain_head_share = 0.8;
 /// First event later than this part of the target counts as slow in the evidence of a roll-out.
@@ -114,7 +115,7 @@
     const bool stream = route.kind == repeat_kind::stream;
     const duration patience =
         scale(route.target_latency, stream ? stream_head_share : plain_head_share) +
-        placed_->expected_first_token;
+        2 * placed_->expected_first_token;
     return std::min(left, std::max(shortest_head_timeout, patience));
 }
 
@@ -136,7 +137,7 @@
     run_ = run_state::ran;
     failing_ = head.status >= 500;
     if (!failing_) {
-        return relay_step{};
+        return accept_or_escalate(head, now);
     }
     const attempt_failure failure{error_code::upstream_failed, run_state::ran,
                                   "The replica failed the request."};
@@ -152,6 +153,26 @@
     return on_failure(failure, now);
 }
 
+flow_step request_flow::accept_or_escalate(const replica_head& head, time_point now)
+{
+    if (answer_begun_ || !head.confidence) {
+        return relay_step{};
+    }
+    const auto larger =
+        core_.escalate(*admitted_, request_, *placed_, *head.confidence, history_, now);
+    if (!larger) {
+        history_.model_fixed = true;
+        return relay_step{};
+    }
+    core_.note_answer(*admitted_, *placed_, false, slow(now));
+    first_event_at_ = now;
+    end_attempt(attempt_result::succeeded, now);
+    history_.model = larger;
+    // Doubt says nothing against the replica, which may hold the prompt's shared parts.
+    history_.tried.clear();
+    return place(duration{0}, now);
+}
+
 flow_step request_flow::refused_by_replica(const attempt_failure& failure, time_point now)
 {
     // The replica had a chance to answer, which says nothing against it.
@@ -232,7 +253,7 @@
     facts.run = failure.run;
     facts.idempotent = route.repeatable();
     facts.tokens_sent = answer_begun_;
-    facts.retries = static_cast<std::uint32_t>(history_.tried.size()) - 1;
+    facts.retries = retries_++;
     facts.deadline = admitted_->give_up_at;
     const retry_decision decision = core_.decide_retry(*admitted_, facts, now);
     if (decision.action == retry_action::stop) {
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -100,6 +100,7 @@
     flow_step place(duration pause, time_point now);
     flow_step give_up(const error& reason);
     flow_step retry(const attempt_failure& failure, time_point now);
+    flow_step accept_or_escalate(const replica_head& head, time_point now);
     flow_step refused_by_replica(const attempt_failure& failure, time_point now);
     [[nodiscard]] bool slow(time_point now) const;
     void end_attempt(attempt_result result, time_point now);
@@ -110,6 +111,7 @@
     std::optional<admission> admitted_;
     std::optional<placement> placed_; ///< of the attempt under way
     send_history history_;
+    std::uint32_t retries_{0}; ///< after failures
     time_point sent_at_;
     std::optional<time_point> first_event_at_; ///< of the attempt under way
     std::optional<std::uint64_t> last_event_;
