--- /dev/null
+++ b/src/proxy/peer_report_test.cpp
@@ -0,0 +1,52 @@
+#include "proxy/peer_report.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace wagtailhitch {
+namespace {
+
+peer_report sample()
+{
+    peer_report out;
+    out.from = {vm_id{"a-1"}, 17};
+    out.address = "10.0.0.1:7340";
+    out.sequence = 5;
+    out.configuration = 9;
+    out.confirmed_age = 120ms;
+    out.loads = {{upstream_id{"r1"}, 4}};
+    out.rollouts = {{{"engine", "v2", 24s},
+                     3s,
+                     rollout_state::rolled_back,
+                     rollout_state::running,
+                     "errors"},
+                    {{"app", "v3", 12s}, 1s, rollout_state::running, std::nullopt, ""}};
+    out.evidence = {{version_id{"engine@v2#r"}, {.answers = 10, .errors = 2, .slow = 1}}};
+    return out;
+}
+
+TEST(peer_report_test, report_survives_its_encoding)
+{
+    const auto decoded = decode_peer_report(encode_peer_report(sample()));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(*decoded, sample());
+}
+
+TEST(peer_report_test, report_of_another_layout_is_rejected)
+{
+    EXPECT_FALSE(decode_peer_report("\x91\x02").has_value());
+    EXPECT_FALSE(decode_peer_report("").has_value());
+}
+
+RC_GTEST_PROP(peer_report_property, damaged_report_is_rejected_or_read_without_harm, ())
+{
+    std::string data = encode_peer_report(sample());
+    const auto at = *rc::gen::inRange<std::size_t>(0, data.size());
+    data[at] = *rc::gen::arbitrary<char>();
+    data.resize(*rc::gen::inRange<std::size_t>(0, data.size() + 1));
+    const auto decoded = decode_peer_report(data);
+    RC_CLASSIFY(decoded.has_value(), "readable");
+}
+
+} // namespace
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/proxy/service_rollout_test.cpp
@@ -0,0 +1,144 @@
+#include "proxy/service_rollout.hpp"
+
+#include <gtest/gtest.h>
+
+namespace wagtailhitch {
+namespace {
+
+constexpr std::uint64_t low_point = 1;
+constexpr std::uint64_t high_point = ~0ULL;
+constexpr std::uint64_t enough_answers = 1000;
+
+class service_rollout_test : public testing::Test {
+protected:
+    [[nodiscard]] bool takes(std::uint64_t point, bool in_touch = true) const
+    {
+        return rollout_.takes(point, in_touch, clock_.now());
+    }
+    rollout_state due(std::uint32_t old_in_flight = 0,
+                      std::uint64_t answers = enough_answers)
+    {
+        return rollout_.due(answers, old_in_flight, clock_.now());
+    }
+
+    manual_clock clock_;
+    service_rollout rollout_{{"engine", "v2", 20s}, clock_.now(), {}};
+};
+
+TEST_F(service_rollout_test, trial_gets_a_small_share)
+{
+    rollout_.note_published(rollout_state::running);
+    EXPECT_TRUE(takes(low_point));
+    EXPECT_FALSE(takes(high_point));
+}
+
+TEST_F(service_rollout_test, version_gets_nothing_before_the_stores_state_is_known)
+{
+    EXPECT_FALSE(takes(low_point));
+}
+
+TEST_F(service_rollout_test, vm_that_hears_nobody_gives_the_version_nothing)
+{
+    rollout_.note_published(rollout_state::running);
+    EXPECT_FALSE(takes(low_point, false));
+}
+
+TEST_F(service_rollout_test, sound_version_takes_all_traffic_and_completes_in_time)
+{
+    rollout_.note_published(rollout_state::running);
+    clock_.advance(14s);
+    EXPECT_EQ(due(3), rollout_state::running);
+    EXPECT_TRUE(takes(high_point));
+    clock_.advance(2s);
+    EXPECT_EQ(due(3), rollout_state::running) << "Old requests are still in flight.";
+    EXPECT_EQ(due(0), rollout_state::complete);
+}
+
+TEST_F(service_rollout_test, completion_does_not_wait_for_old_requests_beyond_its_time)
+{
+    rollout_.note_published(rollout_state::running);
+    clock_.advance(18s);
+    EXPECT_EQ(due(3), rollout_state::complete);
+}
+
+TEST_F(service_rollout_test, version_without_answers_does_not_complete)
+{
+    rollout_.note_published(rollout_state::running);
+    clock_.advance(18s);
+    EXPECT_EQ(due(0, 3), rollout_state::running);
+    EXPECT_FALSE(takes(high_point));
+}
+
+TEST_F(service_rollout_test, failing_version_is_halted_for_good)
+{
+    rollout_.note_published(rollout_state::running);
+    const version_counts bad{.answers = 30, .errors = 15};
+    const version_counts good{.answers = 500, .errors = 2};
+    EXPECT_TRUE(rollout_.judge(bad, good));
+    EXPECT_FALSE(takes(low_point));
+    clock_.advance(18s);
+    EXPECT_EQ(due(), rollout_state::rolled_back);
+}
+
+TEST_F(service_rollout_test, failures_that_the_old_version_has_as_well_do_not_halt)
+{
+    const version_counts fresh{.answers = 60, .errors = 9};
+    const version_counts old{.answers = 600, .errors = 90};
+    EXPECT_FALSE(rollout_.judge(fresh, old));
+}
+
+TEST_F(service_rollout_test, halt_of_another_vm_prevails_over_an_own_unpublished_completion)
+{
+    rollout_.note_published(rollout_state::running);
+    clock_.advance(18s);
+    ASSERT_EQ(due(), rollout_state::complete);
+    rollout_.note_decided(rollout_state::rolled_back, "bad");
+    EXPECT_EQ(rollout_.state(), rollout_state::rolled_back);
+}
+
+TEST_F(service_rollout_test, published_end_stands_against_later_decisions)
+{
+    rollout_.note_published(rollout_state::complete);
+    rollout_.note_decided(rollout_state::rolled_back, "bad");
+    rollout_.note_published(rollout_state::rolled_back);
+    EXPECT_EQ(rollout_.state(), rollout_state::complete);
+}
+
+TEST_F(service_rollout_test, older_order_heard_from_a_peer_moves_the_schedule)
+{
+    rollout_.note_published(rollout_state::running);
+    rollout_.note_age(18s, clock_.now());
+    EXPECT_EQ(due(), rollout_state::complete);
+}
+
+/// A version that turns bad only under all traffic: what it gets from the order to its end.
+TEST_F(service_rollout_test, bad_version_found_after_the_shift_stays_below_the_exposure_bound)
+{
+    constexpr double per_second = 90;
+    constexpr double bound_share = 0.15;
+    constexpr double bound_slack = 30;
+    rollout_.note_published(rollout_state::running);
+    version_counts fresh;
+    version_counts old;
+    double exposed = 0;
+    double total = 0;
+    for (int step = 0; step < 200; ++step) {
+        clock_.advance(100ms);
+        const bool shifted = rollout_.shifted(clock_.now());
+        const bool halted = rollout_.state() == rollout_state::rolled_back;
+        const double share = halted ? 0 : shifted ? 1 : service_rollout_settings{}.trial_share;
+        const double requests = per_second / 10;
+        total += requests;
+        exposed += requests * share;
+        old.answers += static_cast<std::uint64_t>(requests * (1 - share));
+        fresh.answers = static_cast<std::uint64_t>(exposed);
+        fresh.errors += shifted && !halted ? 4 : 0;
+        rollout_.judge(fresh, old);
+        due(5, fresh.answers);
+    }
+    EXPECT_EQ(rollout_.state(), rollout_state::rolled_back);
+    EXPECT_LE(exposed, bound_share * total + bound_slack);
+}
+
+} // namespace
+} // namespace wagtailhitch
