--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -113,6 +113,8 @@
     mode_ = relay_mode::none;
     whole_.clear();
     events_ = event_splitter{event_limit};
+    last_replica_ = step.placed.upstream.value;
+    last_model_ = step.model;
     context_.log.write("request_sent",
                        {{"id", flow_.request().id},
                         {"replica", step.placed.upstream.value},
@@ -188,6 +190,7 @@
 {
     const auto keep_alive = shared_from_this();
     const replica_head facts = context_.dialect.read_head(head, flow_.request());
+    last_confidence_ = facts.confidence.value_or(-1);
     const bool begun = flow_.answer_begun();
     if (!begun) {
         answer_ = std::move(head);
@@ -442,6 +445,9 @@
          {"outcome", outcome},
          {"status", status},
          {"run", name_of(flow_.run())},
+         {"replica", last_replica_},
+         {"model", last_model_},
+         {"confidence", last_confidence_},
          {"sends", flow_.sends()},
          {"detail", detail},
          {"took_ms", to_milliseconds(took)},
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -97,6 +97,10 @@
     event_splitter events_;
     std::optional<time_point> first_byte_at_;
     bool ended_{false};
+    // Of the last attempt, for the line at the end.
+    std::string last_replica_;
+    std::string last_model_;
+    double last_confidence_{-1};
 };
 
 } // namespace wagtailhitch
--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -22,6 +22,15 @@
     return out;
 }
 
+json encode_heard(const std::vector<heard_report>& heard)
+{
+    json out = json::array();
+    for (const auto& item : heard) {
+        out.push_back({item.from.vm.value, item.from.run, item.sequence});
+    }
+    return out;
+}
+
 json encode_rollouts(const std::vector<reported_rollout>& rollouts)
 {
     json out = json::array();
@@ -64,6 +73,22 @@
     return true;
 }
 
+bool decode_heard(const json& array, std::vector<heard_report>& out)
+{
+    for (const auto& item : array) {
+        field_reader in{item};
+        heard_report heard;
+        heard.from.vm = vm_id{in.text()};
+        heard.from.run = in.number();
+        heard.sequence = in.number();
+        if (!in.complete()) {
+            return false;
+        }
+        out.push_back(std::move(heard));
+    }
+    return true;
+}
+
 bool decode_rollouts(const json& array, std::vector<reported_rollout>& out)
 {
     for (const auto& item : array) {
@@ -109,7 +134,7 @@
     return encode_msgpack(json::array(
         {layout, report.from.vm.value, report.from.run, report.address, report.sequence,
          report.configuration, to_milliseconds(report.confirmed_age), report.leaving,
-         encode_loads(report.loads), encode_rollouts(report.rollouts),
+         encode_heard(report.heard), encode_loads(report.loads), encode_rollouts(report.rollouts),
          encode_evidence(report.evidence)}));
 }
 
@@ -129,7 +154,8 @@
     report.configuration = in.number();
     report.confirmed_age = milliseconds(in.integer());
     report.leaving = in.flag();
-    const bool whole = decode_loads(in.array(), report.loads) &&
+    const bool whole = decode_heard(in.array(), report.heard) &&
+                       decode_loads(in.array(), report.loads) &&
                        decode_rollouts(in.array(), report.rollouts) &&
                        decode_evidence(in.array(), report.evidence);
     if (!known || !whole || !in.complete()) {
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -45,6 +45,15 @@
     friend bool operator==(const reported_evidence&, const reported_evidence&) = default;
 };
 
+/// The newest report of another VM that the reporting VM has taken. It lets that VM date what this
+/// report says: it was sent after the named one.
+struct heard_report {
+    process_id from;
+    std::uint64_t sequence{0};
+
+    friend bool operator==(const heard_report&, const heard_report&) = default;
+};
+
 struct peer_report {
     process_id from;
     std::string address; ///< "IP:port" at which the VM takes reports
@@ -52,6 +61,7 @@
     revision configuration{0};
     duration confirmed_age{}; ///< since the start of the last read that confirmed it
     bool leaving{false};
+    std::vector<heard_report> heard;
     std::vector<reported_load> loads;
     std::vector<reported_rollout> rollouts;
     std::vector<reported_evidence> evidence;
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -14,6 +14,7 @@
     out.sequence = 5;
     out.configuration = 9;
     out.confirmed_age = 120ms;
+    out.heard = {{{vm_id{"b-1"}, 18}, 77}};
     out.loads = {{upstream_id{"r1"}, 4}};
     out.rollouts = {{{"engine", "v2", 24s},
                      3s,
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -131,6 +131,7 @@
     }
     known.report = report;
     known.heard_at = now;
+    confirm_by_peer(report);
     for (const auto& item : report.evidence) {
         evidence_.set(report.from, item.group, item.counts);
     }
@@ -148,12 +149,35 @@
     return true;
 }
 
+// The peer's read began before the report was sent by the age it states; the report was sent after
+// the peer took the named report of this VM, which was made at a known time.
+void proxy_core::confirm_by_peer(const peer_report& report)
+{
+    if (!catalog_ || report.configuration != catalog_->version()) {
+        return;
+    }
+    for (const auto& heard : report.heard) {
+        const bool known = heard.sequence <= report_sequence_ &&
+                           report_sequence_ - heard.sequence < reports_made_at_.size();
+        if (heard.from == settings_.self && known) {
+            confirm(reports_made_at_[heard.sequence % reports_made_at_.size()] -
+                    report.confirmed_age);
+        }
+    }
+}
+
 peer_report proxy_core::make_report(time_point now)
 {
     peer_report report;
     report.from = settings_.self;
     report.address = settings_.report_address;
     report.sequence = ++report_sequence_;
+    reports_made_at_[report_sequence_ % reports_made_at_.size()] = now;
+    for (const auto& [vm, item] : peers_) {
+        if (now - item.heard_at <= settings_.peer_timeout) {
+            report.heard.push_back({item.report.from, item.report.sequence});
+        }
+    }
     report.configuration = catalog_ ? catalog_->version() : 0;
     report.confirmed_age = configuration_age(now);
     report.leaving = stopping_;
@@ -561,8 +585,13 @@
     if (configuration_age(now) > settings_.key_validity) {
         return {false, "The configuration is not confirmed."};
     }
-    if (pool_.size() == 0) {
-        return {false, "No replica is known yet."};
+    for (const auto& route : catalog_->routes()) {
+        const bool served = std::ranges::any_of(route.services, [this](const auto& share) {
+            return !directory_.software_of(share.service).empty();
+        });
+        if (!served) {
+            return {false, "No replica of a service is known: " + route.services.front().service};
+        }
     }
     return {true, {}};
 }
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -13,6 +13,7 @@
 #include "routing/replica_chooser.hpp"
 #include "routing/replica_pool.hpp"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -200,6 +201,7 @@
 
     [[nodiscard]] error refusal(error_code code, step at, std::string detail,
                                 std::optional<duration> retry_after) const;
+    void confirm_by_peer(const peer_report& report);
     [[nodiscard]] bool in_touch(time_point now) const;
     [[nodiscard]] std::string choose_software(const admission& admitted,
                                               const proxied_request& request,
@@ -238,6 +240,7 @@
     std::vector<std::string> known_addresses_;
     std::unordered_map<std::string, session_entry> sessions_;
     std::uint64_t report_sequence_{0};
+    std::array<time_point, 32> reports_made_at_{}; ///< by sequence, the newest ones
     time_point sessions_swept_at_{};
 };
 
--- /dev/null
+++ b/src/proxy/proxy_core_test.cpp
@@ -0,0 +1,278 @@
+#include "proxy/test_proxy.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace wagtailhitch {
+namespace {
+
+using testing_proxy::make_contents;
+using testing_proxy::make_replica;
+using testing_proxy::proxy_deployment;
+
+class proxy_core_test : public testing::Test {
+protected:
+    error_code refusal(const proxied_request& request)
+    {
+        const auto admitted = at_.core.admit(request, at_.clock.now());
+        EXPECT_FALSE(admitted.has_value()) << "Expected a refusal.";
+        return admitted ? error_code::internal : admitted.error().code;
+    }
+    std::string software_for(const std::string& session)
+    {
+        auto request = at_.request("/report/1", session);
+        const auto admitted = at_.core.admit(request, at_.clock.now());
+        const auto placed = at_.core.place(*admitted, request, {}, at_.clock.now());
+        if (!placed) {
+            return "none";
+        }
+        at_.core.finish(*placed, {}, at_.clock.now());
+        return placed->software;
+    }
+    void order_rollout()
+    {
+        for (const char* domain : {"a", "b", "c"}) {
+            at_.announce(make_replica(std::string{"new-"} + domain, "engine", domain, "v2"));
+        }
+        at_.core.order_rollout({"engine", "v2", 20s}, at_.clock.now());
+        at_.core.note_published("engine", "v2", rollout_state::running);
+        at_.core.tick(at_.clock.now());
+    }
+    /// Keeps the configuration confirmed while time passes.
+    void pass(duration time)
+    {
+        at_.clock.advance(time);
+        at_.core.confirm(at_.clock.now());
+        at_.core.tick(at_.clock.now());
+    }
+
+    proxy_deployment at_;
+};
+
+TEST_F(proxy_core_test, request_with_a_known_key_is_admitted_for_its_team)
+{
+    const auto admitted = at_.core.admit(at_.request("/report/1"), at_.clock.now());
+    ASSERT_TRUE(admitted.has_value());
+    EXPECT_EQ(admitted->team.value, "bulletins");
+    EXPECT_EQ(admitted->service, "engine");
+    EXPECT_EQ(admitted->give_up_at, at_.clock.now() + 10s);
+}
+
+TEST_F(proxy_core_test, unknown_key_or_path_is_refused_for_good_only_while_confirmed)
+{
+    auto unknown_key = at_.request("/report/1");
+    unknown_key.key = "key-2";
+    EXPECT_EQ(refusal(unknown_key), error_code::unknown_team);
+    EXPECT_EQ(refusal(at_.request("/nowhere/1")), error_code::unknown_path);
+    at_.clock.advance(testing_proxy::make_settings().certain_refusal + 1ms);
+    EXPECT_EQ(refusal(unknown_key), error_code::not_ready);
+    EXPECT_EQ(refusal(at_.request("/nowhere/1")), error_code::not_ready);
+}
+
+TEST_F(proxy_core_test, key_is_not_used_once_it_may_have_been_revoked)
+{
+    at_.clock.advance(testing_proxy::make_settings().key_validity);
+    EXPECT_TRUE(at_.core.admit(at_.request("/report/1"), at_.clock.now()).has_value());
+    // A suspension shows in the clock as one jump.
+    at_.clock.advance(30s);
+    EXPECT_EQ(refusal(at_.request("/report/1")), error_code::not_ready);
+}
+
+TEST_F(proxy_core_test, vm_without_a_configuration_refuses_as_not_ready)
+{
+    metrics counters;
+    proxy_core fresh{testing_proxy::make_settings(), counters, at_.clock.now()};
+    const auto admitted = fresh.admit(at_.request("/report/1"), at_.clock.now());
+    ASSERT_FALSE(admitted.has_value());
+    EXPECT_EQ(admitted.error().code, error_code::not_ready);
+    EXPECT_FALSE(fresh.ready(at_.clock.now()).ready);
+}
+
+TEST_F(proxy_core_test, older_configuration_never_replaces_a_newer_one)
+{
+    EXPECT_TRUE(at_.core.set_catalog(std::make_shared<const proxy_catalog>(make_contents(5))));
+    EXPECT_FALSE(at_.core.set_catalog(std::make_shared<const proxy_catalog>(make_contents(4))));
+    EXPECT_EQ(at_.core.catalog()->version(), 5U);
+}
+
+TEST_F(proxy_core_test, stopping_vm_is_not_ready_and_refuses_new_requests_when_told)
+{
+    at_.core.begin_stop();
+    EXPECT_FALSE(at_.core.ready(at_.clock.now()).ready);
+    EXPECT_TRUE(at_.core.admit(at_.request("/report/1"), at_.clock.now()).has_value());
+    at_.core.refuse_new();
+    EXPECT_EQ(refusal(at_.request("/report/1")), error_code::shutting_down);
+}
+
+TEST_F(proxy_core_test, replica_of_the_own_region_is_preferred)
+{
+    for (int i = 0; i < 20; ++i) {
+        auto request = at_.request("/read/1");
+        const auto admitted = at_.core.admit(request, at_.clock.now());
+        const auto placed = at_.core.place(*admitted, request, {}, at_.clock.now());
+        ASSERT_TRUE(placed.has_value());
+        EXPECT_NE(placed->distance, locality::remote);
+        at_.core.finish(*placed, {}, at_.clock.now());
+    }
+}
+
+TEST_F(proxy_core_test, vms_agree_on_the_home_of_a_shared_prefix)
+{
+    proxy_deployment other{"vm-2"};
+    for (std::uint64_t id = 0; id < 20; ++id) {
+        auto request = at_.request("/report/1");
+        request.prompt_tokens = 8000;
+        request.parts = {{id, 6000}, {1000 + id, 2000}};
+        const auto first = at_.core.place(*at_.core.admit(request, at_.clock.now()), request, {},
+                                          at_.clock.now());
+        const auto second = other.core.place(*other.core.admit(request, other.clock.now()),
+                                             request, {}, other.clock.now());
+        ASSERT_TRUE(first && second);
+        EXPECT_EQ(first->upstream, second->upstream) << "Prefix " << id;
+        at_.core.finish(*first, {}, at_.clock.now());
+        other.core.finish(*second, {}, other.clock.now());
+    }
+}
+
+TEST_F(proxy_core_test, session_keeps_its_version_in_the_first_half_of_a_rollout)
+{
+    std::set<std::string> sessions;
+    for (int i = 0; i < 60; ++i) {
+        sessions.insert("s" + std::to_string(i));
+    }
+    for (const auto& session : sessions) {
+        EXPECT_EQ(software_for(session), "v1");
+    }
+    order_rollout();
+    for (int second = 0; second < 9; ++second) {
+        pass(1s);
+        for (const auto& session : sessions) {
+            EXPECT_EQ(software_for(session), "v1") << "Session " << session;
+        }
+    }
+    int fresh = 0;
+    for (int i = 100; i < 400; ++i) {
+        fresh += software_for("s" + std::to_string(i)) == "v2" ? 1 : 0;
+    }
+    EXPECT_GT(fresh, 0);
+    EXPECT_LT(fresh, 45) << "The trial share is exceeded.";
+}
+
+TEST_F(proxy_core_test, halted_version_gets_nothing_on_any_vm_that_hears_of_it)
+{
+    order_rollout();
+    auto report = proxy_deployment{"vm-2"}.core.make_report(at_.clock.now());
+    report.rollouts = {{{"engine", "v2", 20s}, 1s, rollout_state::rolled_back, std::nullopt, "bad"}};
+    ASSERT_TRUE(at_.core.take_report(report, at_.clock.now()));
+    for (int i = 0; i < 100; ++i) {
+        EXPECT_EQ(software_for("n" + std::to_string(i)), "v1");
+    }
+}
+
+TEST_F(proxy_core_test, evidence_of_several_vms_halts_together)
+{
+    order_rollout();
+    const version_id group{"engine@v2#"};
+    for (int vm = 2; vm <= 6; ++vm) {
+        auto report = proxy_deployment{"vm-" + std::to_string(vm)}.core.make_report(at_.clock.now());
+        report.evidence = {{group, {.answers = 6, .errors = 3}}};
+        at_.core.take_report(report, at_.clock.now());
+    }
+    const auto due = at_.core.tick(at_.clock.now());
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_EQ(due[0].state, rollout_state::rolled_back);
+}
+
+TEST_F(proxy_core_test, peers_read_confirms_no_more_than_it_shows)
+{
+    proxy_deployment peer{"vm-2"};
+    peer.core.confirm(peer.clock.now());
+    const auto own = at_.core.make_report(at_.clock.now());
+    at_.clock.advance(3s);
+    peer.clock.advance(3s);
+    peer.core.take_report(own, peer.clock.now());
+    peer.core.confirm(peer.clock.now() - 500ms);
+    at_.core.take_report(peer.core.make_report(peer.clock.now()), at_.clock.now());
+    // The peer's report was sent after the own one of three seconds ago, and its read began half a
+    // second before it was sent.
+    EXPECT_EQ(at_.core.configuration_age(at_.clock.now()), 3s)
+        << "The own confirmation of three seconds ago is the better one.";
+    const auto later = at_.core.make_report(at_.clock.now());
+    peer.core.take_report(later, peer.clock.now());
+    at_.core.take_report(peer.core.make_report(peer.clock.now()), at_.clock.now());
+    EXPECT_EQ(at_.core.configuration_age(at_.clock.now()), 500ms);
+}
+
+TEST_F(proxy_core_test, peer_with_another_configuration_confirms_nothing)
+{
+    proxy_deployment peer{"vm-2"};
+    peer.core.set_catalog(std::make_shared<const proxy_catalog>(make_contents(2)));
+    at_.clock.advance(2s);
+    peer.core.take_report(at_.core.make_report(at_.clock.now()), peer.clock.now());
+    peer.core.confirm(peer.clock.now());
+    at_.core.take_report(peer.core.make_report(peer.clock.now()), at_.clock.now());
+    EXPECT_EQ(at_.core.configuration_age(at_.clock.now()), 2s);
+}
+
+TEST_F(proxy_core_test, reordered_report_is_ignored)
+{
+    proxy_deployment peer{"vm-2"};
+    const auto first = peer.core.make_report(peer.clock.now());
+    const auto second = peer.core.make_report(peer.clock.now());
+    EXPECT_TRUE(at_.core.take_report(second, at_.clock.now()));
+    EXPECT_FALSE(at_.core.take_report(first, at_.clock.now()));
+    EXPECT_FALSE(at_.core.take_report(second, at_.clock.now()));
+}
+
+/// Random histories of reads, reports, losses and suspensions of three VMs: a key that was revoked
+/// is used nowhere later than its bound, measured from the acknowledgement of the change.
+RC_GTEST_PROP(proxy_core_property, revoked_key_is_used_nowhere_after_its_bound, ())
+{
+    constexpr duration bound = 5s;
+    std::vector<std::unique_ptr<proxy_deployment>> vms;
+    for (int i = 0; i < 3; ++i) {
+        vms.push_back(std::make_unique<proxy_deployment>("vm-" + std::to_string(i)));
+        vms.back()->core.set_bounds(bound - 500ms, 2s);
+    }
+    auto revoked = make_contents(2);
+    revoked.teams[0].keys = {"key-9"};
+    const auto next = std::make_shared<const proxy_catalog>(std::move(revoked));
+    std::optional<time_point> acknowledged_at;
+    const auto n = *rc::gen::inRange(20, 120);
+    for (int step = 0; step < n; ++step) {
+        const auto passed = std::chrono::milliseconds{*rc::gen::inRange(0, 700)};
+        for (const auto& vm : vms) {
+            vm->clock.advance(passed);
+        }
+        auto& vm = *vms[*rc::gen::inRange<std::size_t>(0, vms.size())];
+        const time_point now = vm.clock.now();
+        switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+            acknowledged_at = acknowledged_at.value_or(now);
+            break;
+        case 1: // A read that reaches the store.
+            if (acknowledged_at) {
+                vm.core.set_catalog(next);
+            }
+            vm.core.confirm(now);
+            break;
+        case 2: { // A report that arrives.
+            auto& other = *vms[*rc::gen::inRange<std::size_t>(0, vms.size())];
+            other.core.take_report(vm.core.make_report(now), now);
+            break;
+        }
+        default: // Reports and reads that are lost.
+            (void)vm.core.make_report(now);
+            break;
+        }
+        for (const auto& it : vms) {
+            const bool used = it->core.admit(it->request("/report/1"), now).has_value();
+            RC_ASSERT(!used || !acknowledged_at || now <= *acknowledged_at + bound);
+        }
+    }
+}
+
+} // namespace
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/proxy/request_flow_test.cpp
@@ -0,0 +1,247 @@
+#include "proxy/request_flow.hpp"
+
+#include "proxy/test_proxy.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+namespace wagtailhitch {
+namespace {
+
+using testing_proxy::proxy_deployment;
+
+const replica_head answered{.status = 200, .signed_answer = true};
+const replica_head failed{.status = 500, .signed_answer = true};
+const replica_head refused{.status = 503, .not_run = true};
+const replica_head misdirected{.status = 421, .misdirected = true};
+const attempt_failure reset{error_code::upstream_failed, run_state::outcome_unknown, "reset"};
+const attempt_failure unconnected{error_code::upstream_connect_failed, run_state::not_run,
+                                  "refused"};
+
+class request_flow_test : public testing::Test {
+protected:
+    request_flow& start(const std::string& path)
+    {
+        flow_ = std::make_unique<request_flow>(at_.core, at_.request(path));
+        step_ = flow_->begin(now());
+        return *flow_;
+    }
+    [[nodiscard]] time_point now() const { return at_.clock.now(); }
+    [[nodiscard]] std::string replica() const
+    {
+        const auto* send = std::get_if<send_step>(&step_);
+        return send == nullptr ? "none" : send->placed.upstream.value;
+    }
+    [[nodiscard]] unsigned status() const
+    {
+        const auto* answer = std::get_if<answer_step>(&step_);
+        return answer == nullptr ? 0 : answer->status;
+    }
+    [[nodiscard]] bool sends() const { return std::holds_alternative<send_step>(step_); }
+    [[nodiscard]] bool relays() const { return std::holds_alternative<relay_step>(step_); }
+
+    proxy_deployment at_;
+    std::unique_ptr<request_flow> flow_;
+    flow_step step_;
+};
+
+TEST_F(request_flow_test, answer_of_the_first_replica_is_relayed)
+{
+    start("/read/1");
+    ASSERT_TRUE(sends());
+    step_ = flow_->on_head(answered, now());
+    EXPECT_TRUE(relays());
+    flow_->on_end(now());
+    EXPECT_EQ(flow_->sends(), 1U);
+}
+
+TEST_F(request_flow_test, idempotent_request_goes_to_another_replica_after_a_failure)
+{
+    for (const auto& failure : {reset, unconnected}) {
+        start("/read/1");
+        const std::string first = replica();
+        step_ = flow_->on_failure(failure, now());
+        ASSERT_TRUE(sends()) << failure.detail;
+        EXPECT_NE(replica(), first);
+    }
+}
+
+TEST_F(request_flow_test, non_idempotent_request_in_doubt_ends_with_502_at_once)
+{
+    start("/publish/1");
+    step_ = flow_->on_failure(reset, now());
+    EXPECT_EQ(status(), 502U);
+}
+
+TEST_F(request_flow_test, non_idempotent_request_that_reached_nobody_is_sent_elsewhere)
+{
+    start("/publish/1");
+    step_ = flow_->on_failure(unconnected, now());
+    EXPECT_TRUE(sends());
+}
+
+TEST_F(request_flow_test, non_idempotent_request_refused_by_its_replica_is_promised_as_not_run)
+{
+    start("/publish/1");
+    step_ = flow_->on_head(refused, now());
+    ASSERT_EQ(status(), 503U) << "One replica is all that the route allows.";
+    EXPECT_TRUE(std::get<answer_step>(step_).reason.retry_after.has_value());
+}
+
+TEST_F(request_flow_test, reused_address_leads_to_another_replica)
+{
+    start("/read/1");
+    const std::string first = replica();
+    step_ = flow_->on_head(misdirected, now());
+    ASSERT_TRUE(sends());
+    EXPECT_NE(replica(), first);
+}
+
+TEST_F(request_flow_test, failure_of_the_replica_is_relayed_when_nothing_is_left_to_try)
+{
+    start("/publish/1");
+    step_ = flow_->on_head(failed, now());
+    EXPECT_TRUE(relays());
+}
+
+TEST_F(request_flow_test, answer_to_another_request_reaches_no_caller)
+{
+    start("/publish/1");
+    step_ = flow_->on_head({.status = 200, .own_id = false, .signed_answer = true}, now());
+    EXPECT_EQ(status(), 502U);
+    start("/read/1");
+    step_ = flow_->on_head({.status = 200, .own_id = false, .signed_answer = true}, now());
+    EXPECT_TRUE(sends());
+}
+
+TEST_F(request_flow_test, broken_stream_goes_on_after_the_last_event_that_the_caller_has)
+{
+    start("/report/1");
+    step_ = flow_->on_head(answered, now());
+    flow_->on_event(1, now());
+    flow_->on_event(2, now());
+    step_ = flow_->on_failure({error_code::stream_broken, run_state::ran, "reset"}, now());
+    ASSERT_TRUE(sends());
+    EXPECT_EQ(std::get<send_step>(step_).resume_after, 2U);
+    EXPECT_FALSE(flow_->is_new(2));
+    EXPECT_TRUE(flow_->is_new(3));
+}
+
+TEST_F(request_flow_test, stream_that_cannot_go_on_is_cut_instead_of_completed)
+{
+    start("/report/1");
+    for (int i = 0; i < 3; ++i) {
+        step_ = flow_->on_head(answered, now());
+        flow_->on_event(i + 1, now());
+        step_ = flow_->on_failure({error_code::stream_broken, run_state::ran, "reset"}, now());
+    }
+    EXPECT_TRUE(std::holds_alternative<break_step>(step_));
+}
+
+TEST_F(request_flow_test, doubtful_answer_is_asked_again_of_a_larger_model)
+{
+    start("/report/1");
+    EXPECT_EQ(std::get<send_step>(step_).model, "small");
+    replica_head doubtful = answered;
+    doubtful.confidence = 0.1;
+    step_ = flow_->on_head(doubtful, now());
+    ASSERT_TRUE(sends());
+    EXPECT_EQ(std::get<send_step>(step_).model, "large");
+    step_ = flow_->on_head(doubtful, now());
+    EXPECT_TRUE(relays()) << "No larger model is left.";
+}
+
+TEST_F(request_flow_test, stream_that_has_begun_keeps_its_model)
+{
+    start("/report/1");
+    replica_head sure = answered;
+    sure.confidence = 0.9;
+    step_ = flow_->on_head(sure, now());
+    flow_->on_event(1, now());
+    step_ = flow_->on_failure({error_code::stream_broken, run_state::ran, "reset"}, now());
+    ASSERT_TRUE(sends());
+    replica_head doubtful = answered;
+    doubtful.confidence = 0.1;
+    step_ = flow_->on_head(doubtful, now());
+    EXPECT_TRUE(relays());
+}
+
+TEST_F(request_flow_test, final_answer_is_due_at_the_callers_deadline)
+{
+    start("/read/1");
+    at_.clock.advance(10s);
+    step_ = flow_->on_deadline(now());
+    EXPECT_EQ(status(), 504U) << "The replica may have run it.";
+}
+
+TEST_F(request_flow_test, retry_budget_bounds_what_a_failing_service_receives)
+{
+    int sends_made = 0;
+    constexpr int requests = 100;
+    for (int i = 0; i < requests; ++i) {
+        start("/read/1");
+        while (sends()) {
+            ++sends_made;
+            step_ = flow_->on_failure(reset, now());
+        }
+        at_.clock.advance(50ms);
+        at_.core.confirm(now());
+    }
+    EXPECT_LE(sends_made - requests, 0.8 * requests + 5);
+}
+
+/// Whatever the replicas do: at most one of them gets a non-idempotent request, unless it said that
+/// it did not run it; no replica gets it twice; and a refusal that promises "not run" is true.
+RC_GTEST_PROP(request_flow_property, promises_hold_over_random_histories, ())
+{
+    proxy_deployment at;
+    const bool idempotent = *rc::gen::arbitrary<bool>();
+    request_flow flow{at.core, at.request(idempotent ? "/read/1" : "/publish/1")};
+    flow_step step = flow.begin(at.clock.now());
+    std::multiset<std::string> sent;
+    int may_have_run = 0;
+    for (int i = 0; i < 20; ++i) {
+        const auto* send = std::get_if<send_step>(&step);
+        if (send == nullptr) {
+            break;
+        }
+        sent.insert(send->placed.upstream.value);
+        at.clock.advance(std::chrono::milliseconds{*rc::gen::inRange(0, 400)});
+        const time_point now = at.clock.now();
+        switch (*rc::gen::inRange(0, 6)) {
+        case 0:
+            step = flow.on_failure(unconnected, now);
+            break;
+        case 1:
+            ++may_have_run;
+            step = flow.on_failure(reset, now);
+            break;
+        case 2:
+            step = flow.on_head(refused, now);
+            break;
+        case 3:
+            step = flow.on_head(misdirected, now);
+            break;
+        case 4:
+            ++may_have_run;
+            step = flow.on_head(failed, now);
+            break;
+        default:
+            ++may_have_run;
+            step = flow.on_deadline(now);
+            break;
+        }
+    }
+    for (const auto& id : sent) {
+        RC_ASSERT(sent.count(id) == 1U);
+    }
+    RC_ASSERT(idempotent || may_have_run <= 1);
+    if (const auto* answer = std::get_if<answer_step>(&step); answer && answer->status == 503) {
+        RC_ASSERT(may_have_run == 0);
+    }
+}
+
+} // namespace
+} // namespace wagtailhitch
--- a/src/retry/retry_policy.cpp
+++ b/src/retry/retry_policy.cpp
@@ -28,25 +28,66 @@
 } // namespace
 
 retry_budget::retry_budget(const retry_settings& settings, time_point now)
-    : share_{settings.budget_share}, capacity_{settings.budget_capacity}, counted_at_{now},
+    : window_{settings.budget_window}, share_{settings.budget_share},
+      capacity_{settings.budget_capacity}, counted_at_{now},
       memory_{settings.budget_memory}, floor_{settings.budget_floor,
                                               std::max(1.0, settings.budget_floor), now}
 {
 }
 
+std::int64_t retry_budget::bucket_number(time_point now) const
+{
+    return now.time_since_epoch() / (window_ / static_cast<int>(buckets_per_window));
+}
+
+retry_budget::bucket& retry_budget::bucket_of(time_point now)
+{
+    const std::int64_t number = bucket_number(now);
+    bucket& found = buckets_[static_cast<std::size_t>(number) % buckets_per_window];
+    if (found.number != number) {
+        found = {number, 0, 0};
+    }
+    return found;
+}
+
+double retry_budget::window_room(time_point now) const
+{
+    const std::int64_t oldest = bucket_number(now) - static_cast<std::int64_t>(buckets_per_window);
+    double requests = 0;
+    double retries = 0;
+    for (const bucket& it : buckets_) {
+        if (it.number > oldest) {
+            requests += it.requests;
+            retries += it.retries;
+        }
+    }
+    return share_ * requests + capacity_ - retries;
+}
+
 void retry_budget::count_request(time_point now)
 {
+    if (window_ > duration{0}) {
+        ++bucket_of(now).requests;
+        return;
+    }
     earned_ = std::min(capacity_, earned(now) + share_);
     counted_at_ = now;
 }
 
 bool retry_budget::available(time_point now) const
 {
+    if (window_ > duration{0}) {
+        return window_room(now) >= 1;
+    }
     return earned(now) >= 1 || floor_.level(now) >= 1;
 }
 
 void retry_budget::spend(time_point now)
 {
+    if (window_ > duration{0}) {
+        ++bucket_of(now).retries;
+        return;
+    }
     if (earned(now) >= 1) {
         earned_ = earned(now) - 1;
         counted_at_ = now;
--- a/src/retry/retry_policy.hpp
+++ b/src/retry/retry_policy.hpp
@@ -3,6 +3,8 @@
 #include "base/error.hpp"
 #include "limits/token_bucket.hpp"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <random>
 
@@ -49,6 +51,9 @@
     double budget_capacity{10}; ///< retries that may be saved up
     /// Time constant with which saved retries lapse, so that a quiet pool starts from the floor.
     duration budget_memory{10s};
+    /// Counts requests and retries over a sliding window of this length instead: at most
+    /// `budget_share` of the window's requests and `budget_capacity` more. 0: retries are saved up.
+    duration budget_window{0};
     /// Sends a non-idempotent request again when no connection to the upstream was made, or the
     /// upstream said that it did not run it. Off: such requests are sent once in any case
     /// (design 3.5).
@@ -86,8 +91,21 @@
     void spend(time_point now);
 
 private:
+    /// Counts within one part of the sliding window.
+    struct bucket {
+        std::int64_t number{-1};
+        std::uint32_t requests{0};
+        std::uint32_t retries{0};
+    };
+    static constexpr std::size_t buckets_per_window = 40;
+
     [[nodiscard]] double earned(time_point now) const;
+    [[nodiscard]] double window_room(time_point now) const;
+    [[nodiscard]] std::int64_t bucket_number(time_point now) const;
+    bucket& bucket_of(time_point now);
 
+    duration window_;
+    std::array<bucket, buckets_per_window> buckets_{};
     double share_;
     double capacity_;
     double earned_{0};
--- a/src/retry/retry_test.cpp
+++ b/src/retry/retry_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace wagtailhitch {
@@ -137,6 +138,44 @@
     }
 }
 
+// What the deployment's rule counts: retries within any window, against the requests of the best of
+// that window, the one before and the one half a window before.
+RC_GTEST_PROP(retry_budget_window, retries_stay_within_the_bound_of_any_window, ())
+{
+    constexpr double share = 0.9;
+    constexpr double slack = 5;
+    retry_settings settings;
+    settings.budget_window = 10s;
+    settings.budget_share = share * 0.9;
+    settings.budget_capacity = slack;
+    manual_clock clock;
+    retry_budget budget{settings, clock.now()};
+    std::vector<time_point> requests;
+    std::vector<time_point> retries;
+    const auto n = *rc::gen::inRange(10, 300);
+    for (int i = 0; i < n; ++i) {
+        clock.advance(std::chrono::milliseconds{*rc::gen::inRange(0, 200)});
+        if (*rc::gen::inRange(0, 3) == 0) {
+            budget.count_request(clock.now());
+            requests.push_back(clock.now());
+        }
+        else if (budget.available(clock.now())) {
+            budget.spend(clock.now());
+            retries.push_back(clock.now());
+        }
+    }
+    const auto count = [](const std::vector<time_point>& all, time_point from) {
+        return static_cast<double>(std::ranges::count_if(
+            all, [from](time_point at) { return at > from && at <= from + 10s; }));
+    };
+    for (const time_point last : retries) {
+        const time_point from = last - 10s;
+        const double asked = std::max(
+            {count(requests, from), count(requests, from - 5s), count(requests, from - 10s)});
+        RC_ASSERT(count(retries, from) <= share * asked + slack + 1);
+    }
+}
+
 class hedge_policy_test : public testing::Test {
 protected:
     void record(int samples)
