--- a/src/base/event_log.cpp
+++ b/src/base/event_log.cpp
@@ -1,7 +1,6 @@
 #include "base/event_log.hpp"
 
 #include <nlohmann/json.hpp>
-
 #include <unistd.h>
 
 #include <algorithm>
--- a/src/base/event_log.hpp
+++ b/src/base/event_log.hpp
@@ -35,8 +35,7 @@
     log_field(std::string_view field_name, bool flag) : name{field_name}, value{flag} {}
     log_field(std::string_view field_name, double number) : name{field_name}, value{number} {}
     template<typename Integer>
-    requires std::is_integral_v<Integer>
-    log_field(std::string_view field_name, Integer number)
+    requires std::is_integral_v<Integer> log_field(std::string_view field_name, Integer number)
         : name{field_name}, value{static_cast<std::int64_t>(number)}
     {
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -7,7 +7,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -374,8 +373,8 @@
     for (const auto& field : head) {
         out.headers.emplace_back(field.name_string(), field.value());
     }
-    connection_->idle_limit = keep_alive_timeout(head["Keep-Alive"])
-                                  .value_or(owner_->settings.idle_timeout);
+    connection_->idle_limit =
+        keep_alive_timeout(head["Keep-Alive"]).value_or(owner_->settings.idle_timeout);
     if (hooks_.on_header) {
         hooks_.on_header(std::move(out));
     }
--- a/src/net/proxy/peer_datagrams.cpp
+++ b/src/net/proxy/peer_datagrams.cpp
@@ -87,8 +87,12 @@
         state_->socket.non_blocking(true, ec);
     }
     if (ec) {
-        return tl::unexpected(error{error_code::internal, step::peer, state_->settings.address,
-                                    run_state::not_run, ec.message(), {}});
+        return tl::unexpected(error{error_code::internal,
+                                    step::peer,
+                                    state_->settings.address,
+                                    run_state::not_run,
+                                    ec.message(),
+                                    {}});
     }
     state_->read();
     return {};
@@ -112,8 +116,7 @@
 {
     boost_error ec;
     const auto local = state_->socket.local_endpoint(ec);
-    return ec ? std::string{}
-              : local.address().to_string() + ":" + std::to_string(local.port());
+    return ec ? std::string{} : local.address().to_string() + ":" + std::to_string(local.port());
 }
 
 } // namespace wagtailhitch
--- a/src/net/proxy/proxied_connection.cpp
+++ b/src/net/proxy/proxied_connection.cpp
@@ -95,10 +95,9 @@
         return;
     }
     reading_ = true;
-    socket_.async_read_some(asio::buffer(read_buffer_),
-                            [self = shared_from_this()](boost_error ec, std::size_t n) {
-                                self->on_read(ec, n);
-                            });
+    socket_.async_read_some(
+        asio::buffer(read_buffer_),
+        [self = shared_from_this()](boost_error ec, std::size_t n) { self->on_read(ec, n); });
 }
 
 void proxied_connection::on_read(boost_error ec, std::size_t n)
@@ -279,10 +278,9 @@
     }
     writing_ = true;
     in_flight_.swap(pending_);
-    asio::async_write(socket_, asio::buffer(in_flight_),
-                      [self = shared_from_this()](boost_error ec, std::size_t /*n*/) {
-                          self->on_written(ec);
-                      });
+    asio::async_write(
+        socket_, asio::buffer(in_flight_),
+        [self = shared_from_this()](boost_error ec, std::size_t /*n*/) { self->on_written(ec); });
 }
 
 void proxied_connection::on_written(boost_error ec)
--- a/src/net/proxy/proxied_connection.hpp
+++ b/src/net/proxy/proxied_connection.hpp
@@ -80,7 +80,7 @@
     deadline_queue::handle deadline_{};
     bool reading_{false};
     bool writing_{false};
-    bool answering_{false};  ///< the request is complete and its answer is not
+    bool answering_{false}; ///< the request is complete and its answer is not
     bool keep_alive_{true};
     bool head_checked_{false};
     bool close_after_write_{false};
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -17,15 +17,17 @@
 /// Bounds of what a replica's answer may make this VM hold.
 constexpr std::size_t whole_answer_limit = std::size_t{4} * 1024 * 1024;
 constexpr std::size_t event_limit = std::size_t{256} * 1024;
-/// Kept connections older than this are not used for requests that must not run twice.
-constexpr duration always_new{-1};
+/// Kept connections that were idle for longer are not used for requests that must not run twice:
+/// the replica may be closing them.
+constexpr duration recently_used = 1s;
 
-/// Headers that concern one connection only (RFC 9110, section 7.6.1), and those that are made anew.
+/// Headers that concern one connection only (RFC 9110, section 7.6.1), and those that are made
+/// anew.
 bool concerns_connection(std::string_view name)
 {
     static constexpr std::array<std::string_view, 12> names{
-        "connection", "keep-alive",        "proxy-connection", "proxy-authenticate", "te",
-        "trailer",    "transfer-encoding", "upgrade",          "content-length",     "host",
+        "connection", "keep-alive",         "proxy-connection", "proxy-authenticate", "te",
+        "trailer",    "transfer-encoding",  "upgrade",          "content-length",     "host",
         "expect",     "proxy-authorization"};
     return std::any_of(names.begin(), names.end(), [name](std::string_view known) {
         return boost::beast::iequals(boost::beast::string_view{name.data(), name.size()},
@@ -63,15 +65,16 @@
 
 proxied_exchange::proxied_exchange(proxy_context& context, request_head head, std::string body,
                                    answer_form form, answer_sink sink)
-    : context_{context}, head_{std::move(head)},
-      body_{std::make_shared<const std::string>(std::move(body))}, form_{form},
-      sink_{std::move(sink)}, flow_{context.core,
-                                    [&] {
-                                        auto request = context.dialect.read_request(head_);
-                                        request.body_bytes = body_->size();
-                                        request.received_at = context.clock();
-                                        return request;
-                                    }()},
+    : context_{context}, head_{std::move(head)}, body_{std::make_shared<const std::string>(
+                                                     std::move(body))},
+      form_{form}, sink_{std::move(sink)}, flow_{context.core,
+                                                 [&] {
+                                                     auto request =
+                                                         context.dialect.read_request(head_);
+                                                     request.body_bytes = body_->size();
+                                                     request.received_at = context.clock();
+                                                     return request;
+                                                 }()},
       events_{event_limit}
 {
 }
@@ -88,12 +91,11 @@
     const time_point now = context_.clock();
     auto first = flow_.begin(now);
     if (flow_.admitted()) {
-        deadline_ = context_.deadlines.after(flow_.give_up_at() - now,
-                                             [self = weak_from_this()] {
-                                                 if (const auto it = self.lock()) {
-                                                     it->on_deadline();
-                                                 }
-                                             });
+        deadline_ = context_.deadlines.after(flow_.give_up_at() - now, [self = weak_from_this()] {
+            if (const auto it = self.lock()) {
+                it->on_deadline();
+            }
+        });
     }
     perform(std::move(first));
 }
@@ -115,18 +117,18 @@
     events_ = event_splitter{event_limit};
     last_replica_ = step.placed.upstream.value;
     last_model_ = step.model;
-    context_.log.write("request_sent",
-                       {{"id", flow_.request().id},
-                        {"replica", step.placed.upstream.value},
-                        {"software", step.placed.software},
-                        {"model", step.model},
-                        {"send", flow_.sends()},
-                        {"distance", name_of(step.placed.distance)},
-                        {"on_trial", step.placed.on_trial},
-                        {"expected_first_ms", to_milliseconds(step.placed.expected_first_token)},
-                        {"config", flow_.admitted()->catalog->version()},
-                        {"config_age_ms",
-                         to_milliseconds(context_.core.configuration_age(context_.clock()))}});
+    context_.log.write(
+        "request_sent",
+        {{"id", flow_.request().id},
+         {"replica", step.placed.upstream.value},
+         {"software", step.placed.software},
+         {"model", step.model},
+         {"send", flow_.sends()},
+         {"distance", name_of(step.placed.distance)},
+         {"on_trial", step.placed.on_trial},
+         {"expected_first_ms", to_milliseconds(step.placed.expected_first_token)},
+         {"config", flow_.admitted()->catalog->version()},
+         {"config_age_ms", to_milliseconds(context_.core.configuration_age(context_.clock()))}});
     if (step.pause <= duration{0}) {
         send(step);
         return;
@@ -150,7 +152,7 @@
     // A quiet replica is no reason to end an answer that has begun.
     call.progress_timeout = step.time_left;
     call.body_limit = 0;
-    call.reuse_within = step.new_connection ? always_new : duration{std::chrono::hours{1}};
+    call.reuse_within = step.fresh_connection ? recently_used : duration{std::chrono::hours{1}};
     http::token_list named{head_[http::field::connection]};
     for (const auto& field : head_) {
         const auto name = to_std(field.name_string());
@@ -291,8 +293,8 @@
     }
     const bool begun = failure->stage == detail::call_stage::receiving;
     const run_state run = failure->written ? run_state::outcome_unknown : run_state::not_run;
-    error_code code = failure->written ? error_code::upstream_failed
-                                       : error_code::upstream_connect_failed;
+    error_code code =
+        failure->written ? error_code::upstream_failed : error_code::upstream_connect_failed;
     if (begun) {
         code = error_code::stream_broken;
     }
@@ -451,9 +453,8 @@
          {"sends", flow_.sends()},
          {"detail", detail},
          {"took_ms", to_milliseconds(took)},
-         {"first_ms", first_byte_at_
-                          ? to_milliseconds(*first_byte_at_ - flow_.request().received_at)
-                          : -1},
+         {"first_ms",
+          first_byte_at_ ? to_milliseconds(*first_byte_at_ - flow_.request().received_at) : -1},
          {"config_age_ms", to_milliseconds(context_.core.configuration_age(now))}});
 }
 
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -39,7 +39,7 @@
 
 /// Facts of the caller's connection that shape the answer.
 struct answer_form {
-    bool chunked{true};     ///< HTTP/1.1; otherwise the connection's end ends a stream
+    bool chunked{true};      ///< HTTP/1.1; otherwise the connection's end ends a stream
     bool close_after{false}; ///< the connection is closed after the answer
     bool head_only{false};   ///< HEAD: no body follows
 };
--- a/src/net/proxy/proxy_server.hpp
+++ b/src/net/proxy/proxy_server.hpp
@@ -27,7 +27,7 @@
 };
 
 struct proxy_server_settings {
-    std::string address; ///< "IP:port"
+    std::string address;                ///< "IP:port"
     std::size_t connection_limit{3000}; ///< below a VM's descriptors, which replicas also need
     /// Room for pipelined bytes that wait behind the request in progress.
     std::size_t read_ahead{std::size_t{64} * 1024};
--- a/src/proxy/event_splitter.cpp
+++ b/src/proxy/event_splitter.cpp
@@ -16,8 +16,8 @@
         if (newline == std::string_view::npos) {
             return newline;
         }
-        const bool blank = newline == line_start ||
-                           (newline == line_start + 1 && text[line_start] == '\r');
+        const bool blank =
+            newline == line_start || (newline == line_start + 1 && text[line_start] == '\r');
         if (blank && line_start > 0) {
             return newline + 1;
         }
--- a/src/proxy/model_ladder.cpp
+++ b/src/proxy/model_ladder.cpp
@@ -16,8 +16,7 @@
 
 model_ladder::model_ladder(model_ladder_settings settings) : settings_{std::move(settings)} {}
 
-std::size_t model_ladder::first(std::size_t count, const estimate& expected,
-                                duration target) const
+std::size_t model_ladder::first(std::size_t count, const estimate& expected, duration target) const
 {
     if (settings_.start_small) {
         return 0;
--- a/src/proxy/model_ladder.hpp
+++ b/src/proxy/model_ladder.hpp
@@ -20,7 +20,7 @@
     bool start_small{true};
     /// An answer is accepted from this confidence on, 0 to 1. Below it, the largest model that can
     /// answer in time is asked.
-    double accept{0.7};
+    double accept{0.6};
     /// Part of the latency target that the first token of a model may be expected to take.
     double time_share{0.6};
     /// Time for a prompt token relative to a standard model, smallest model first; ladders of other
--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -131,11 +131,11 @@
 
 std::string encode_peer_report(const peer_report& report)
 {
-    return encode_msgpack(json::array(
-        {layout, report.from.vm.value, report.from.run, report.address, report.sequence,
-         report.configuration, to_milliseconds(report.confirmed_age), report.leaving,
-         encode_heard(report.heard), encode_loads(report.loads), encode_rollouts(report.rollouts),
-         encode_evidence(report.evidence)}));
+    return encode_msgpack(
+        json::array({layout, report.from.vm.value, report.from.run, report.address, report.sequence,
+                     report.configuration, report.position, to_milliseconds(report.confirmed_age),
+                     report.leaving, encode_heard(report.heard), encode_loads(report.loads),
+                     encode_rollouts(report.rollouts), encode_evidence(report.evidence)}));
 }
 
 expected<peer_report> decode_peer_report(std::string_view data)
@@ -152,6 +152,7 @@
     report.address = in.text();
     report.sequence = in.number();
     report.configuration = in.number();
+    report.position = in.number();
     report.confirmed_age = milliseconds(in.integer());
     report.leaving = in.flag();
     const bool whole = decode_heard(in.array(), report.heard) &&
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -59,6 +59,7 @@
     std::string address; ///< "IP:port" at which the VM takes reports
     std::uint64_t sequence{0};
     revision configuration{0};
+    log_offset position{0};   ///< up to which the operators' records have been read
     duration confirmed_age{}; ///< since the start of the last read that confirmed it
     bool leaving{false};
     std::vector<heard_report> heard;
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -13,15 +13,13 @@
     out.address = "10.0.0.1:7340";
     out.sequence = 5;
     out.configuration = 9;
+    out.position = 44;
     out.confirmed_age = 120ms;
     out.heard = {{{vm_id{"b-1"}, 18}, 77}};
     out.loads = {{upstream_id{"r1"}, 4}};
-    out.rollouts = {{{"engine", "v2", 24s},
-                     3s,
-                     rollout_state::rolled_back,
-                     rollout_state::running,
-                     "errors"},
-                    {{"app", "v3", 12s}, 1s, rollout_state::running, std::nullopt, ""}};
+    out.rollouts = {
+        {{"engine", "v2", 24s}, 3s, rollout_state::rolled_back, rollout_state::running, "errors"},
+        {{"app", "v3", 12s}, 1s, rollout_state::running, std::nullopt, ""}};
     out.evidence = {{version_id{"engine@v2#r"}, {.answers = 10, .errors = 2, .slow = 1}}};
     return out;
 }
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -85,6 +85,14 @@
     confirmed_at_ = std::max(confirmed_at_, asked_at);
 }
 
+bool proxy_core::behind_peers(time_point now) const
+{
+    return std::ranges::any_of(peers_, [&](const auto& item) {
+        return now - item.second.heard_at <= settings_.peer_timeout &&
+               item.second.report.position > position_;
+    });
+}
+
 void proxy_core::set_bounds(duration key_validity, duration certain_refusal)
 {
     settings_.key_validity = key_validity;
@@ -179,6 +187,7 @@
         }
     }
     report.configuration = catalog_ ? catalog_->version() : 0;
+    report.position = position_;
     report.confirmed_age = configuration_age(now);
     report.leaving = stopping_;
     for (const auto& [id, entry] : directory_.entries()) {
@@ -265,8 +274,8 @@
             version_counts baseline;
             for (const auto& software : directory_.software_of(service)) {
                 if (software != target) {
-                    baseline += evidence_.total(
-                        evidence_group(software_version(service, software), route));
+                    baseline +=
+                        evidence_.total(evidence_group(software_version(service, software), route));
                 }
             }
             const version_counts counts = evidence_.total(evidence_group(fresh, route));
@@ -291,8 +300,8 @@
     }
     pool_.configure(upstreams, now);
     for (const auto& [id, spec] : upstreams) {
-        pool_.set_health(id, replica_health::usable,
-                         directory_.find(id)->announcement.started_ms, now);
+        pool_.set_health(id, replica_health::usable, directory_.find(id)->announcement.started_ms,
+                         now);
     }
 }
 
@@ -320,7 +329,7 @@
 error proxy_core::refusal(error_code code, step at, std::string detail,
                           std::optional<duration> retry_after) const
 {
-    return error{code, at, settings_.self.vm.value, run_state::not_run, std::move(detail),
+    return error{code,       at, settings_.self.vm.value, run_state::not_run, std::move(detail),
                  retry_after};
 }
 
@@ -431,9 +440,9 @@
     return rollout->second.takes(admitted.point, in_touch(now), now) ? target : old_software();
 }
 
-duration proxy_core::expected_first_token(const version_id& version,
-                                          const proxied_request& request, std::size_t ladder,
-                                          std::size_t model, time_point now) const
+duration proxy_core::expected_first_token(const version_id& version, const proxied_request& request,
+                                          std::size_t ladder, std::size_t model,
+                                          time_point now) const
 {
     const double tokens = request.prompt_tokens * models_.pace(ladder, model);
     std::optional<duration> best;
@@ -500,9 +509,7 @@
     if (ladder > 0 && !model) {
         model = models_.first(
             ladder,
-            [&](std::size_t it) {
-                return expected_first_token(version, request, ladder, it, now);
-            },
+            [&](std::size_t it) { return expected_first_token(version, request, ladder, it, now); },
             admitted.route->target_latency);
     }
     const auto chain = chain_of(request, model.value_or(0));
@@ -516,6 +523,7 @@
     wanted.request_bytes = static_cast<double>(request.body_bytes);
     wanted.first_token_target = admitted.route->target_latency / 3;
     wanted.prefill_pace = model ? models_.pace(ladder, *model) : 1;
+    wanted.cost_per_1k_input = settings_.prefill_cost;
     if (!chain.empty()) {
         wanted.prefix_home = home_of(version, chain.back());
         wanted.home_blocks = static_cast<std::uint32_t>(chain.size());
@@ -564,7 +572,8 @@
 void proxy_core::note_answer(const admission& admitted, const placement& placed, bool failed,
                              bool slow)
 {
-    for (const std::string_view route : {std::string_view{}, std::string_view{admitted.route->name}}) {
+    for (const std::string_view route :
+         {std::string_view{}, std::string_view{admitted.route->name}}) {
         const version_id group = evidence_group(placed.version, route);
         version_counts& counts = own_evidence_[group];
         ++counts.answers;
@@ -598,8 +607,7 @@
 
 bool proxy_core::rollout_open() const
 {
-    return std::ranges::any_of(rollouts_,
-                               [](const auto& item) { return !item.second.ended(); });
+    return std::ranges::any_of(rollouts_, [](const auto& item) { return !item.second.ended(); });
 }
 
 std::vector<std::string> proxy_core::peer_addresses(time_point now) const
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -42,7 +42,7 @@
 
 /// A caller's request as far as decisions need it; its framing has been checked.
 struct proxied_request {
-    std::string id;   ///< the caller's id of this attempt
+    std::string id; ///< the caller's id of this attempt
     std::string host;
     std::string path; ///< with query
     std::string key;  ///< credential; empty when the caller sent none
@@ -70,8 +70,8 @@
 /// What has been tried for one request.
 struct send_history {
     std::vector<replica_index> tried;
-    std::uint32_t sends{0};        ///< replicas that may have received it
-    std::string software;          ///< set once part of an answer came from it
+    std::uint32_t sends{0};           ///< replicas that may have received it
+    std::string software;             ///< set once part of an answer came from it
     std::optional<std::size_t> model; ///< index into the route's models, chosen before
     bool model_fixed{false};          ///< the answer has begun, or a larger model was asked for
 };
@@ -81,7 +81,7 @@
     upstream_id upstream;
     std::string address;
     std::string software;
-    version_id version;   ///< software_version() of the service
+    version_id version; ///< software_version() of the service
     locality distance{locality::domain};
     std::optional<std::size_t> model; ///< index into the route's models
     duration predicted{};
@@ -110,6 +110,7 @@
     service_rollout_settings rollout{};
     model_ladder_settings models{};
     retry_settings retry{};
+    double prefill_cost{0.06}; ///< money units for reading 1000 prompt tokens
     std::size_t prefix_entries{std::size_t{16} * 1024};
     std::uint64_t seed{1};
 };
@@ -137,6 +138,10 @@
     /// A read of the configuration that began at `asked_at` found nothing newer than what is in
     /// force.
     void confirm(time_point asked_at);
+    /// The operators' records have been read up to here.
+    void set_position(log_offset position) { position_ = position; }
+    /// A peer has read further.
+    [[nodiscard]] bool behind_peers(time_point now) const;
     void set_bounds(duration key_validity, duration certain_refusal);
     replica_directory& replicas() { return directory_; }
     void order_rollout(const rollout_order& order, time_point now);
@@ -222,6 +227,7 @@
     std::mt19937_64 generator_;
     std::shared_ptr<const proxy_catalog> catalog_;
     time_point confirmed_at_{};
+    log_offset position_{0};
     bool stopping_{false};
     bool refusing_{false};
     replica_directory directory_;
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -125,10 +125,10 @@
         auto request = at_.request("/report/1");
         request.prompt_tokens = 8000;
         request.parts = {{id, 6000}, {1000 + id, 2000}};
-        const auto first = at_.core.place(*at_.core.admit(request, at_.clock.now()), request, {},
-                                          at_.clock.now());
-        const auto second = other.core.place(*other.core.admit(request, other.clock.now()),
-                                             request, {}, other.clock.now());
+        const auto first =
+            at_.core.place(*at_.core.admit(request, at_.clock.now()), request, {}, at_.clock.now());
+        const auto second = other.core.place(*other.core.admit(request, other.clock.now()), request,
+                                             {}, other.clock.now());
         ASSERT_TRUE(first && second);
         EXPECT_EQ(first->upstream, second->upstream) << "Prefix " << id;
         at_.core.finish(*first, {}, at_.clock.now());
@@ -164,7 +164,8 @@
 {
     order_rollout();
     auto report = proxy_deployment{"vm-2"}.core.make_report(at_.clock.now());
-    report.rollouts = {{{"engine", "v2", 20s}, 1s, rollout_state::rolled_back, std::nullopt, "bad"}};
+    report.rollouts = {
+        {{"engine", "v2", 20s}, 1s, rollout_state::rolled_back, std::nullopt, "bad"}};
     ASSERT_TRUE(at_.core.take_report(report, at_.clock.now()));
     for (int i = 0; i < 100; ++i) {
         EXPECT_EQ(software_for("n" + std::to_string(i)), "v1");
@@ -176,7 +177,8 @@
     order_rollout();
     const version_id group{"engine@v2#"};
     for (int vm = 2; vm <= 6; ++vm) {
-        auto report = proxy_deployment{"vm-" + std::to_string(vm)}.core.make_report(at_.clock.now());
+        auto report =
+            proxy_deployment{"vm-" + std::to_string(vm)}.core.make_report(at_.clock.now());
         report.evidence = {{group, {.answers = 6, .errors = 3}}};
         at_.core.take_report(report, at_.clock.now());
     }
--- a/src/proxy/replica_directory.cpp
+++ b/src/proxy/replica_directory.cpp
@@ -80,7 +80,8 @@
     ++withdrawn_count_;
     it->second.presence = replica_presence::withdrawn;
     it->second.forget_at = now + settings_.withdrawn_grace;
-    const double share = static_cast<double>(withdrawn_count_) / static_cast<double>(entries_.size());
+    const double share =
+        static_cast<double>(withdrawn_count_) / static_cast<double>(entries_.size());
     if (share >= settings_.lapse_share) {
         for (auto& [other, item] : entries_) {
             if (item.presence == replica_presence::withdrawn) {
@@ -91,9 +92,8 @@
     return true;
 }
 
-std::size_t
-replica_directory::replace_all(const std::vector<replica_announcement>& announcements,
-                               time_point now)
+std::size_t replica_directory::replace_all(const std::vector<replica_announcement>& announcements,
+                                           time_point now)
 {
     std::set<upstream_id> seen;
     for (const auto& announcement : announcements) {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -100,7 +100,7 @@
     out.head_timeout = head_timeout();
     out.resume_after = last_event_;
     out.pause = pause;
-    out.new_connection = !admitted_->route->repeatable();
+    out.fresh_connection = !admitted_->route->repeatable();
     return out;
 }
 
@@ -123,11 +123,10 @@
 {
     head_seen_ = true;
     if (head.not_run || head.misdirected) {
-        return refused_by_replica(
-            {error_code::upstream_refused, run_state::not_run,
-             head.misdirected ? "Another replica has the address."
-                              : "The replica did not run the request."},
-            now);
+        return refused_by_replica({error_code::upstream_refused, run_state::not_run,
+                                   head.misdirected ? "Another replica has the address."
+                                                    : "The replica did not run the request."},
+                                  now);
     }
     if (!head.own_id || !head.signed_answer) {
         return on_failure({error_code::upstream_failed, run_state::outcome_unknown,
@@ -295,8 +294,12 @@
         core_.note_answer(*admitted_, *placed_, false, true);
     }
     end_attempt(head_seen_ ? attempt_result::cancelled : attempt_result::failed, now);
-    return give_up(error{error_code::upstream_timeout, step::dispatch, {}, run_,
-                         "No complete answer came in time.", {}});
+    return give_up(error{error_code::upstream_timeout,
+                         step::dispatch,
+                         {},
+                         run_,
+                         "No complete answer came in time.",
+                         {}});
 }
 
 } // namespace wagtailhitch
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -22,12 +22,12 @@
 /// Send the request to `placed`; an attempt under way is given up first.
 struct send_step {
     placement placed;
-    std::string model;         ///< empty: as the caller named it
-    duration time_left{};      ///< until the final answer is due
-    duration head_timeout{};   ///< without any answer by then the replica counts as silent
+    std::string model;       ///< empty: as the caller named it
+    duration time_left{};    ///< until the final answer is due
+    duration head_timeout{}; ///< without any answer by then the replica counts as silent
     std::optional<std::uint64_t> resume_after; ///< last event that the caller has
-    duration pause{};          ///< before sending
-    bool new_connection{false}; ///< a kept one could lose the request, which must not be repeated
+    duration pause{};                          ///< before sending
+    bool fresh_connection{false}; ///< an old one could lose the request, which must not be repeated
 };
 
 /// Pass the answer of the attempt under way on to the caller.
@@ -50,10 +50,10 @@
 /// The head of a replica's answer, as far as decisions need it.
 struct replica_head {
     unsigned status{0};
-    bool own_id{true};      ///< it answers this request
-    bool signed_answer{false}; ///< it carries the replica's signature
-    bool not_run{false};    ///< the replica says that it did not run the request
-    bool misdirected{false}; ///< another replica has the address
+    bool own_id{true};                ///< it answers this request
+    bool signed_answer{false};        ///< it carries the replica's signature
+    bool not_run{false};              ///< the replica says that it did not run the request
+    bool misdirected{false};          ///< another replica has the address
     std::optional<double> confidence; ///< 0 to 1
 };
 
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -1,5 +1,4 @@
 #include "proxy/request_flow.hpp"
-
 #include "proxy/test_proxy.hpp"
 
 #include <gtest/gtest.h>
@@ -12,10 +11,34 @@
 
 using testing_proxy::proxy_deployment;
 
-const replica_head answered{.status = 200, .signed_answer = true};
-const replica_head failed{.status = 500, .signed_answer = true};
-const replica_head refused{.status = 503, .not_run = true};
-const replica_head misdirected{.status = 421, .misdirected = true};
+replica_head signed_head(unsigned status)
+{
+    replica_head out;
+    out.status = status;
+    out.signed_answer = true;
+    return out;
+}
+
+replica_head refusing_head(bool by_another)
+{
+    replica_head out;
+    out.status = by_another ? 421 : 503;
+    out.not_run = !by_another;
+    out.misdirected = by_another;
+    return out;
+}
+
+replica_head head_of_another_request()
+{
+    replica_head out = signed_head(200);
+    out.own_id = false;
+    return out;
+}
+
+const replica_head answered = signed_head(200);
+const replica_head failed = signed_head(500);
+const replica_head refused = refusing_head(false);
+const replica_head misdirected = refusing_head(true);
 const attempt_failure reset{error_code::upstream_failed, run_state::outcome_unknown, "reset"};
 const attempt_failure unconnected{error_code::upstream_connect_failed, run_state::not_run,
                                   "refused"};
@@ -109,10 +132,10 @@
 TEST_F(request_flow_test, answer_to_another_request_reaches_no_caller)
 {
     start("/publish/1");
-    step_ = flow_->on_head({.status = 200, .own_id = false, .signed_answer = true}, now());
+    step_ = flow_->on_head(head_of_another_request(), now());
     EXPECT_EQ(status(), 502U);
     start("/read/1");
-    step_ = flow_->on_head({.status = 200, .own_id = false, .signed_answer = true}, now());
+    step_ = flow_->on_head(head_of_another_request(), now());
     EXPECT_TRUE(sends());
 }
 
--- a/src/proxy/service_rollout.hpp
+++ b/src/proxy/service_rollout.hpp
@@ -81,10 +81,7 @@
                                     time_point now);
     /// The state that the store is known to hold.
     [[nodiscard]] const std::optional<rollout_state>& published() const { return published_; }
-    [[nodiscard]] bool ended() const
-    {
-        return published_ && *published_ != rollout_state::running;
-    }
+    [[nodiscard]] bool ended() const { return published_ && *published_ != rollout_state::running; }
 
 private:
     rollout_order order_;
--- a/src/proxy/service_rollout_test.cpp
+++ b/src/proxy/service_rollout_test.cpp
@@ -15,8 +15,7 @@
     {
         return rollout_.takes(point, in_touch, clock_.now());
     }
-    rollout_state due(std::uint32_t old_in_flight = 0,
-                      std::uint64_t answers = enough_answers)
+    rollout_state due(std::uint32_t old_in_flight = 0, std::uint64_t answers = enough_answers)
     {
         return rollout_.due(answers, old_in_flight, clock_.now());
     }
--- a/src/retry/retry_policy.cpp
+++ b/src/retry/retry_policy.cpp
@@ -29,9 +29,8 @@
 
 retry_budget::retry_budget(const retry_settings& settings, time_point now)
     : window_{settings.budget_window}, share_{settings.budget_share},
-      capacity_{settings.budget_capacity}, counted_at_{now},
-      memory_{settings.budget_memory}, floor_{settings.budget_floor,
-                                              std::max(1.0, settings.budget_floor), now}
+      capacity_{settings.budget_capacity}, counted_at_{now}, memory_{settings.budget_memory},
+      floor_{settings.budget_floor, std::max(1.0, settings.budget_floor), now}
 {
 }
 
--- a/src/routing/replica_chooser.cpp
+++ b/src/routing/replica_chooser.cpp
@@ -163,9 +163,8 @@
 replica_chooser::scored_choice replica_chooser::score(const scope& in, replica_index replica) const
 {
     const prefix_match match = in.match(replica);
-    const double uncached =
-        std::max(0.0, in.request.prompt_tokens - cached_tokens(in, replica)) *
-        in.request.prefill_pace;
+    const double uncached = std::max(0.0, in.request.prompt_tokens - cached_tokens(in, replica)) *
+                            in.request.prefill_pace;
     const double plain = predict(in.pool, replica, uncached, 1);
     const double ramp = in.pool.ramp(replica, in.now);
     const double ramped = ramp < 1 ? predict(in.pool, replica, uncached, ramp) : plain;
--- a/src/routing/replica_chooser.hpp
+++ b/src/routing/replica_chooser.hpp
@@ -66,16 +66,16 @@
     std::span<const replica_index> excluded{}; ///< tried by earlier attempts of the request
     std::span<const std::uint64_t> prefix_hashes{};
     std::uint32_t prompt_tokens{0};
-    double request_bytes{0};       ///< estimate, sent over the link if the choice is remote
-    double answer_bytes{0};        ///< estimate, returned over the link if the choice is remote
-    double cost_per_1k_input{0};   ///< of the version; prompt tokens in a cache cost nothing
+    double request_bytes{0};     ///< estimate, sent over the link if the choice is remote
+    double answer_bytes{0};      ///< estimate, returned over the link if the choice is remote
+    double cost_per_1k_input{0}; ///< of the version; prompt tokens in a cache cost nothing
     /// Tokens of each prefix block, when they differ; empty: `block_tokens` of the settings.
     std::span<const std::uint32_t> block_sizes{};
     /// Replica that other VMs also choose for this prefix, and the blocks it is thought to hold
     /// while no VM has said otherwise.
     std::optional<replica_index> prefix_home{};
     std::uint32_t home_blocks{0};
-    double prefill_pace{1}; ///< time for a prompt token relative to a standard model
+    double prefill_pace{1};        ///< time for a prompt token relative to a standard model
     duration first_token_target{}; ///< 0: `remote_after` of the settings decides
 };
 
