Keep sessions on their version when they move between VMs or reach one before the order does

New software gets nothing before an own read that began after it was first seen; VMs tell each other the recent sessions that a trial would expose. Both tests failed before.

--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -53,6 +53,15 @@
     return out;
 }
 
+json encode_sessions(const std::vector<reported_session>& sessions)
+{
+    json out = json::array();
+    for (const auto& item : sessions) {
+        out.push_back({item.session, item.software, to_milliseconds(item.age)});
+    }
+    return out;
+}
+
 duration milliseconds(std::int64_t value)
 {
     return std::chrono::milliseconds{value};
@@ -127,6 +136,22 @@
     return true;
 }
 
+bool decode_sessions(const json& array, std::vector<reported_session>& out)
+{
+    for (const auto& item : array) {
+        field_reader in{item};
+        reported_session session;
+        session.session = in.number();
+        session.software = in.text();
+        session.age = milliseconds(in.integer());
+        if (!in.complete()) {
+            return false;
+        }
+        out.push_back(std::move(session));
+    }
+    return true;
+}
+
 } // namespace
 
 std::string encode_peer_report(const peer_report& report)
@@ -135,7 +160,8 @@
         json::array({layout, report.from.vm.value, report.from.run, report.address, report.sequence,
                      report.configuration, report.position, to_milliseconds(report.confirmed_age),
                      report.leaving, encode_heard(report.heard), encode_loads(report.loads),
-                     encode_rollouts(report.rollouts), encode_evidence(report.evidence)}));
+                     encode_rollouts(report.rollouts), encode_evidence(report.evidence),
+         encode_sessions(report.sessions)}));
 }
 
 expected<peer_report> decode_peer_report(std::string_view data)
@@ -158,7 +184,8 @@
     const bool whole = decode_heard(in.array(), report.heard) &&
                        decode_loads(in.array(), report.loads) &&
                        decode_rollouts(in.array(), report.rollouts) &&
-                       decode_evidence(in.array(), report.evidence);
+                       decode_evidence(in.array(), report.evidence) &&
+                       decode_sessions(in.array(), report.sessions);
     if (!known || !whole || !in.complete()) {
         return tl::unexpected(malformed(step::peer, report_name));
     }
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -54,6 +54,16 @@
     friend bool operator==(const heard_report&, const heard_report&) = default;
 };
 
+/// A session that a roll-out would expose, and the software that served it last. Its next request
+/// may reach another VM.
+struct reported_session {
+    std::uint64_t session{0}; ///< hash of the caller's name for it
+    std::string software;
+    duration age{}; ///< since its last request
+
+    friend bool operator==(const reported_session&, const reported_session&) = default;
+};
+
 struct peer_report {
     process_id from;
     std::string address; ///< "IP:port" at which the VM takes reports
@@ -66,6 +76,7 @@
     std::vector<reported_load> loads;
     std::vector<reported_rollout> rollouts;
     std::vector<reported_evidence> evidence;
+    std::vector<reported_session> sessions;
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -21,6 +21,7 @@
         {{"engine", "v2", 24s}, 3s, rollout_state::rolled_back, rollout_state::running, "errors"},
         {{"app", "v3", 12s}, 1s, rollout_state::running, std::nullopt, ""}};
     out.evidence = {{version_id{"engine@v2#r"}, {.answers = 10, .errors = 2, .slow = 1}}};
+    out.sessions = {{0xfedcba9876543210ULL, "v2", 40ms}};
     return out;
 }
 
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace wagtailhitch {
@@ -85,6 +86,27 @@
     confirmed_at_ = std::max(confirmed_at_, asked_at);
 }
 
+void proxy_core::note_read(log_offset position, time_point asked_at)
+{
+    position_ = position;
+    read_at_ = asked_at;
+}
+
+// The order of a roll-out is written before its replicas start, so that a read which began after
+// the first of them was seen has found the order, if there is one.
+bool proxy_core::is_explained(const std::string& service, const std::string& software) const
+{
+    return directory_.first_seen(software_version(service, software)) <= read_at_;
+}
+
+bool proxy_core::has_unexplained_software() const
+{
+    return std::ranges::any_of(directory_.entries(), [this](const auto& item) {
+        const replica_announcement& replica = item.second.announcement;
+        return !is_explained(replica.service, replica.software);
+    });
+}
+
 bool proxy_core::behind_peers(time_point now) const
 {
     return std::ranges::any_of(peers_, [&](const auto& item) {
@@ -143,6 +165,9 @@
     for (const auto& item : report.evidence) {
         evidence_.set(report.from, item.group, item.counts);
     }
+    for (const auto& item : report.sessions) {
+        remember_session(item.session, item.software, now - item.age);
+    }
     for (const auto& item : report.rollouts) {
         const auto it = rollouts_.find(item.order.service);
         if (it == rollouts_.end() || it->second.order() != item.order) {
@@ -203,6 +228,13 @@
     for (const auto& [group, counts] : own_evidence_) {
         report.evidence.push_back({group, counts});
     }
+    for (const auto& [session, entry] : sessions_) {
+        const duration age = now - entry.used_at;
+        if (age <= settings_.session_memory &&
+            service_rollout::exposes(session, settings_.rollout)) {
+            report.sessions.push_back({session, entry.software, age});
+        }
+    }
     return report;
 }
 
@@ -405,12 +437,45 @@
     return configuration_age(now) <= settings_.key_validity || live_peers(now) > 0;
 }
 
+std::string proxy_core::software_without_rollout(const admission& admitted) const
+{
+    const auto present = directory_.software_of(admitted.service);
+    std::vector<std::string> explained;
+    std::ranges::copy_if(present, std::back_inserter(explained), [&](const std::string& software) {
+        return is_explained(admitted.service, software);
+    });
+    if (explained.empty() || explained.size() == present.size()) {
+        return "*";
+    }
+    return explained[admitted.point % explained.size()];
+}
+
+const std::string* proxy_core::session_software(const std::string& session, time_point now) const
+{
+    if (session.empty()) {
+        return nullptr;
+    }
+    const auto it = sessions_.find(hash64(session));
+    const bool known =
+        it != sessions_.end() && now - it->second.used_at <= settings_.session_memory;
+    return known ? &it->second.software : nullptr;
+}
+
+void proxy_core::remember_session(std::uint64_t session, const std::string& software,
+                                  time_point now)
+{
+    session_entry& entry = sessions_[session];
+    if (now >= entry.used_at) {
+        entry = {software, now};
+    }
+}
+
 std::string proxy_core::choose_software(const admission& admitted, const proxied_request& request,
                                         const send_history& history, time_point now) const
 {
     const auto rollout = rollouts_.find(admitted.service);
     if (rollout == rollouts_.end()) {
-        return "*";
+        return software_without_rollout(admitted);
     }
     const std::string& target = rollout->second.order().target;
     auto present = directory_.software_of(admitted.service);
@@ -431,11 +496,9 @@
     if (!history.software.empty() && history.software != "*") {
         return history.software;
     }
-    const auto session = sessions_.find(request.session);
-    const bool known = !request.session.empty() && session != sessions_.end() &&
-                       now - session->second.used_at <= settings_.session_memory;
-    if (known && !rollout->second.shifted(now)) {
-        return session->second.software == target ? target : old_software();
+    const std::string* known = session_software(request.session, now);
+    if (known != nullptr && !rollout->second.shifted(now)) {
+        return *known == target ? target : old_software();
     }
     return rollout->second.takes(admitted.point, in_touch(now), now) ? target : old_software();
 }
@@ -557,7 +620,7 @@
     out.on_trial = rollout != rollouts_.end() && rollout->second.order().target == out.software &&
                    rollout->second.state() == rollout_state::running;
     if (!request.session.empty()) {
-        sessions_[request.session] = {out.software, now};
+        remember_session(hash64(request.session), out.software, now);
     }
     return out;
 }
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -138,8 +138,10 @@
     /// A read of the configuration that began at `asked_at` found nothing newer than what is in
     /// force.
     void confirm(time_point asked_at);
-    /// The operators' records have been read up to here.
-    void set_position(log_offset position) { position_ = position; }
+    /// The operators' records have been read up to here, by a read that began at `asked_at`.
+    void note_read(log_offset position, time_point asked_at);
+    /// A replica announces software that may belong to a roll-out this VM has not read of yet.
+    [[nodiscard]] bool has_unexplained_software() const;
     /// A peer has read further.
     [[nodiscard]] bool behind_peers(time_point now) const;
     void set_bounds(duration key_validity, duration certain_refusal);
@@ -208,6 +210,11 @@
                                 std::optional<duration> retry_after) const;
     void confirm_by_peer(const peer_report& report);
     [[nodiscard]] bool in_touch(time_point now) const;
+    [[nodiscard]] bool is_explained(const std::string& service, const std::string& software) const;
+    [[nodiscard]] std::string software_without_rollout(const admission& admitted) const;
+    [[nodiscard]] const std::string* session_software(const std::string& session,
+                                                      time_point now) const;
+    void remember_session(std::uint64_t session, const std::string& software, time_point now);
     [[nodiscard]] std::string choose_software(const admission& admitted,
                                               const proxied_request& request,
                                               const send_history& history, time_point now) const;
@@ -228,6 +235,7 @@
     std::shared_ptr<const proxy_catalog> catalog_;
     time_point confirmed_at_{};
     log_offset position_{0};
+    time_point read_at_{}; ///< start of the last own read of the operators' records
     bool stopping_{false};
     bool refusing_{false};
     replica_directory directory_;
@@ -244,7 +252,7 @@
     std::map<version_id, version_counts> own_evidence_;
     std::map<vm_id, peer> peers_;
     std::vector<std::string> known_addresses_;
-    std::unordered_map<std::string, session_entry> sessions_;
+    std::unordered_map<std::uint64_t, session_entry> sessions_; ///< by hash of the session
     std::uint64_t report_sequence_{0};
     std::array<time_point, 32> reports_made_at_{}; ///< by sequence, the newest ones
     time_point sessions_swept_at_{};
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -14,7 +14,7 @@
 
 class proxy_core_test : public testing::Test {
 protected:
-    error_code refusal(const proxied_request& request)
+    [[nodiscard]] error_code refusal(const proxied_request& request) const
     {
         const auto admitted = at_.core.admit(request, at_.clock.now());
         EXPECT_FALSE(admitted.has_value()) << "Expected a refusal.";
@@ -160,6 +160,46 @@
     EXPECT_LT(fresh, 45) << "The trial share is exceeded.";
 }
 
+TEST_F(proxy_core_test, software_that_appears_before_its_order_is_known_gets_nothing)
+{
+    at_.core.note_read(1, at_.clock.now());
+    at_.clock.advance(1s);
+    at_.announce(make_replica("new-a", "engine", "a", "v2"));
+    at_.core.tick(at_.clock.now());
+    EXPECT_TRUE(at_.core.has_unexplained_software());
+    for (int i = 0; i < 50; ++i) {
+        EXPECT_EQ(software_for("s" + std::to_string(i)), "v1");
+    }
+    at_.clock.advance(1s);
+    at_.core.note_read(2, at_.clock.now());
+    EXPECT_FALSE(at_.core.has_unexplained_software()) << "No roll-out was ordered for it.";
+}
+
+TEST_F(proxy_core_test, session_keeps_its_version_when_it_moves_to_another_vm)
+{
+    proxy_deployment other{"vm-2"};
+    std::vector<std::string> sessions;
+    for (int i = 0; i < 300; ++i) {
+        sessions.push_back("s" + std::to_string(i));
+        software_for(sessions.back());
+    }
+    order_rollout();
+    for (const char* domain : {"a", "b", "c"}) {
+        other.announce(make_replica(std::string{"new-"} + domain, "engine", domain, "v2"));
+    }
+    other.core.order_rollout({"engine", "v2", 20s}, other.clock.now());
+    other.core.note_published("engine", "v2", rollout_state::running);
+    other.core.take_report(at_.core.make_report(at_.clock.now()), other.clock.now());
+    for (const auto& session : sessions) {
+        auto request = other.request("/report/1", session);
+        const auto admitted = other.core.admit(request, other.clock.now());
+        const auto placed = other.core.place(*admitted, request, {}, other.clock.now());
+        ASSERT_TRUE(placed.has_value());
+        EXPECT_EQ(placed->software, "v1") << session;
+        other.core.finish(*placed, {}, other.clock.now());
+    }
+}
+
 TEST_F(proxy_core_test, halted_version_gets_nothing_on_any_vm_that_hears_of_it)
 {
     order_rollout();
--- a/src/proxy/replica_directory.cpp
+++ b/src/proxy/replica_directory.cpp
@@ -25,8 +25,9 @@
 }
 
 announcement_effect replica_directory::announce(const replica_announcement& announcement,
-                                                time_point /*now*/)
+                                                time_point now)
 {
+    first_seen_.try_emplace(software_version(announcement.service, announcement.software), now);
     const auto [it, added] = entries_.try_emplace(announcement.id);
     entry& known = it->second;
     if (added) {
@@ -148,6 +149,12 @@
     return {found.begin(), found.end()};
 }
 
+time_point replica_directory::first_seen(const version_id& version) const
+{
+    const auto it = first_seen_.find(version);
+    return it == first_seen_.end() ? time_point{} : it->second;
+}
+
 upstream_spec replica_directory::spec_of(const replica_announcement& announcement) const
 {
     upstream_spec spec;
--- a/src/proxy/replica_directory.hpp
+++ b/src/proxy/replica_directory.hpp
@@ -95,6 +95,8 @@
     [[nodiscard]] std::map<upstream_id, upstream_spec> upstreams() const;
     /// Software versions of which a usable replica exists.
     [[nodiscard]] std::vector<std::string> software_of(std::string_view service) const;
+    /// When a replica of the version was first announced here; the earliest time if never.
+    [[nodiscard]] time_point first_seen(const version_id& version) const;
 
 private:
     [[nodiscard]] upstream_spec spec_of(const replica_announcement& announcement) const;
@@ -102,6 +104,7 @@
     directory_settings settings_;
     std::map<failure_domain_id, region_id> regions_;
     std::map<upstream_id, entry> entries_;
+    std::map<version_id, time_point> first_seen_;
     time_point withdrawn_since_{}; ///< start of the burst of withdrawals that is being counted
     std::size_t withdrawn_count_{0};
     bool changed_{false};
--- a/src/proxy/service_rollout.cpp
+++ b/src/proxy/service_rollout.cpp
@@ -65,7 +65,12 @@
     if (!in_touch || !published_) {
         return false;
     }
-    return shifted(now) || static_cast<double>(point) / two_to_64 < settings_.trial_share;
+    return shifted(now) || exposes(point, settings_);
+}
+
+bool service_rollout::exposes(std::uint64_t point, const service_rollout_settings& settings)
+{
+    return static_cast<double>(point) / two_to_64 < settings.trial_share;
 }
 
 bool service_rollout::judge(const version_counts& fresh, const version_counts& baseline)
