--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -420,13 +420,15 @@
 
 void proxied_exchange::log_answer_dropped(const replica_head& head, const std::string& replica)
 {
-    const bool refused = head.not_run || head.misdirected;
-    const std::string_view why = refused ? "refused" : head.status < 500 ? "doubted" : "failed";
+    const std::string_view why = head.not_run        ? "refused"
+                                 : head.status < 500 ? "doubted"
+                                                     : "failed";
     context_.counters.count("proxied_answers_dropped_total", {{"why", std::string{why}}}).add();
     context_.log.write("answer_dropped", {{"id", flow_.request().id},
                                           {"replica", replica},
                                           {"why", why},
                                           {"status", head.status},
+                                          {"answered_by", head.answered_by},
                                           {"confidence", head.confidence.value_or(-1)}});
 }
 
--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -161,7 +161,7 @@
                      report.configuration, report.position, to_milliseconds(report.confirmed_age),
                      report.leaving, encode_heard(report.heard), encode_loads(report.loads),
                      encode_rollouts(report.rollouts), encode_evidence(report.evidence),
-         encode_sessions(report.sessions)}));
+                     encode_sessions(report.sessions)}));
 }
 
 expected<peer_report> decode_peer_report(std::string_view data)
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -121,6 +121,15 @@
     settings_.certain_refusal = certain_refusal;
 }
 
+void proxy_core::note_address_reused(const upstream_id& id, time_point now)
+{
+    counters_.count("replicas_replaced_total").add();
+    directory_.retire(id);
+    if (directory_.tick(now)) {
+        refresh_pool(now);
+    }
+}
+
 void proxy_core::order_rollout(const rollout_order& order, time_point now)
 {
     const auto it = rollouts_.find(order.service);
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -146,6 +146,8 @@
     [[nodiscard]] bool behind_peers(time_point now) const;
     void set_bounds(duration key_validity, duration certain_refusal);
     replica_directory& replicas() { return directory_; }
+    /// Another replica answered at the address: this one is gone until it starts again.
+    void note_address_reused(const upstream_id& id, time_point now);
     void order_rollout(const rollout_order& order, time_point now);
     /// A state that the store holds.
     void note_published(const std::string& service, const std::string& target, rollout_state state);
--- a/src/proxy/replica_directory.cpp
+++ b/src/proxy/replica_directory.cpp
@@ -93,6 +93,15 @@
     return true;
 }
 
+void replica_directory::retire(const upstream_id& id)
+{
+    const auto it = entries_.find(id);
+    if (it != entries_.end() && it->second.presence != replica_presence::leaving) {
+        it->second.presence = replica_presence::leaving;
+        changed_ = true;
+    }
+}
+
 std::size_t replica_directory::replace_all(const std::vector<replica_announcement>& announcements,
                                            time_point now)
 {
--- a/src/proxy/replica_directory.hpp
+++ b/src/proxy/replica_directory.hpp
@@ -83,6 +83,8 @@
     announcement_effect announce(const replica_announcement& announcement, time_point now);
     /// True when the replica was in use.
     bool withdraw(const upstream_id& id, time_point now);
+    /// The replica's present run is known to have ended; later records of that run change nothing.
+    void retire(const upstream_id& id);
     /// Takes the newest records of all replicas. Returns how many known ones are missing.
     std::size_t replace_all(const std::vector<replica_announcement>& announcements, time_point now);
     /// Forgets withdrawn replicas whose time is over. True when upstreams() has changed since the
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -87,9 +87,10 @@
     history_.tried.push_back(placed_->ticket.replica);
     history_.model = placed_->model;
     // Until the connection fails before anything was written, the replica may have the request.
-    if (history_.sends > 0) {
+    if (arrivals_ > 0) {
         core_.spend_repeat(*admitted_, now);
     }
+    ++arrivals_;
     ++history_.sends;
     send_step out;
     out.placed = *placed_;
@@ -122,10 +123,18 @@
 flow_step request_flow::on_head(const replica_head& head, time_point now)
 {
     head_seen_ = true;
-    if (head.not_run || head.misdirected) {
+    if (!head.answered_by.empty() && placed_ && head.answered_by != placed_->upstream.value &&
+        !head.signed_answer) {
+        core_.note_address_reused(placed_->upstream, now);
+        // The replica that was meant has not received it.
+        --history_.sends;
+        return refused_by_replica(
+            {error_code::upstream_refused, run_state::not_run, "Another replica has the address."},
+            now);
+    }
+    if (head.not_run) {
         return refused_by_replica({error_code::upstream_refused, run_state::not_run,
-                                   head.misdirected ? "Another replica has the address."
-                                                    : "The replica did not run the request."},
+                                   "The replica did not run the request."},
                                   now);
     }
     if (!head.own_id || !head.signed_answer) {
@@ -238,6 +247,7 @@
     if (failure.code == error_code::upstream_connect_failed) {
         // Nothing reached the replica.
         --history_.sends;
+        --arrivals_;
     }
     error reason{failure.code, step::dispatch, {}, run_, failure.detail, {}};
     if (run_ == run_state::not_run) {
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -53,7 +53,7 @@
     bool own_id{true};                ///< it answers this request
     bool signed_answer{false};        ///< it carries the replica's signature
     bool not_run{false};              ///< the replica says that it did not run the request
-    bool misdirected{false};          ///< another replica has the address
+    std::string answered_by;          ///< the replica's own id, where it says so
     std::optional<double> confidence; ///< 0 to 1
 };
 
@@ -111,7 +111,8 @@
     std::optional<admission> admitted_;
     std::optional<placement> placed_; ///< of the attempt under way
     send_history history_;
-    std::uint32_t retries_{0}; ///< after failures
+    std::uint32_t retries_{0};  ///< after failures
+    std::uint32_t arrivals_{0}; ///< at replicas, also at those that refused
     time_point sent_at_;
     std::optional<time_point> first_event_at_; ///< of the attempt under way
     std::optional<std::uint64_t> last_event_;
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -23,8 +23,8 @@
 {
     replica_head out;
     out.status = by_another ? 421 : 503;
-    out.not_run = !by_another;
-    out.misdirected = by_another;
+    out.not_run = true;
+    out.answered_by = by_another ? "another" : "";
     return out;
 }
 
@@ -122,6 +122,22 @@
     EXPECT_NE(replica(), first);
 }
 
+TEST_F(request_flow_test, replica_whose_address_was_reused_gets_nothing_more)
+{
+    std::set<std::string> asked;
+    for (int i = 0; i < 3; ++i) {
+        start("/publish/1");
+        asked.insert(replica());
+        step_ = flow_->on_head(misdirected, now());
+        if (i < 2) {
+            EXPECT_TRUE(sends()) << "The replica that was meant has not received it.";
+            step_ = flow_->on_head(answered, now());
+        }
+        at_.clock.advance(100ms);
+    }
+    EXPECT_EQ(asked.size(), 3U);
+}
+
 TEST_F(request_flow_test, failure_of_the_replica_is_relayed_when_nothing_is_left_to_try)
 {
     start("/publish/1");
--- a/src/proxy/service_rollout.hpp
+++ b/src/proxy/service_rollout.hpp
@@ -71,7 +71,8 @@
     /// the store's state of the roll-out is known.
     [[nodiscard]] bool takes(std::uint64_t point, bool in_touch, time_point now) const;
     /// Whether the trial exposes requests of this point.
-    [[nodiscard]] static bool exposes(std::uint64_t point, const service_rollout_settings& settings);
+    [[nodiscard]] static bool exposes(std::uint64_t point,
+                                      const service_rollout_settings& settings);
     /// Whether all traffic belongs to the new version.
     [[nodiscard]] bool shifted(time_point now) const;
 
