Bill proxied requests: one bill each, appended to the store in batches

A line for each model that ran, with its price from the configuration; work for a caller that left is billed as cancelled, a refused request not at all. Bills that are not yet appended are lost with a VM that loses power (no copies on peers here).

--- a/src/proxy/catalog.hpp
+++ b/src/proxy/catalog.hpp
@@ -73,6 +73,7 @@
     std::string name;
     std::uint32_t maximum_connections{0}; ///< of one replica, from all callers; 0: not bounded
     std::vector<model_price> models;
+    std::uint32_t tokens_per_event{1}; ///< generated tokens that one event of a stream holds
 };
 
 /// Bounds on what a caller may send.
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -30,6 +30,8 @@
 /// Requests above this multiple of a replica's slots wait longer there than a caller's retry takes.
 constexpr double overload = 2.0;
 constexpr duration shortest_retry_after = 100ms;
+/// What a prompt token costs relative to a generated one.
+constexpr double prompt_token_share = 0.25;
 /// Another VM can take the request at once.
 constexpr duration stop_retry_after = 10ms;
 
@@ -68,7 +70,7 @@
       directory_{settings_.directory, settings_.regions}, pool_{settings_.pool},
       chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
       link_{{.bytes_per_second = settings_.link_bytes_per_second}, now}, retries_{settings_.retry},
-      models_{settings_.models}, sessions_swept_at_{now}
+      models_{settings_.models}, bills_{settings_.self, settings_.bills}, sessions_swept_at_{now}
 {
 }
 
@@ -380,6 +382,10 @@
         return tl::unexpected(
             refusal(error_code::not_ready, step::configure, std::move(why), shortest_retry_after));
     };
+    if (bills_.full()) {
+        return tl::unexpected(refusal(error_code::bill_buffer_full, step::bill,
+                                      "Too many bills wait for the store.", 5s));
+    }
     if (refusing_) {
         return tl::unexpected(refusal(error_code::shutting_down, step::shutdown,
                                       "The VM is shutting down.", stop_retry_after));
@@ -641,6 +647,64 @@
     }
 }
 
+void proxy_core::begin_stop()
+{
+    stopping_ = true;
+    bills_.begin_stop();
+}
+
+bill_line proxy_core::bill_line_of(const admission& admitted, const placement& placed,
+                                   std::uint64_t prompt_tokens,
+                                   std::uint64_t generated_tokens) const
+{
+    bill_line line{placed.version, placed.upstream, prompt_tokens, generated_tokens, 0};
+    if (!placed.model) {
+        return line;
+    }
+    const std::string& model = admitted.route->models[*placed.model];
+    line.version.value += "/" + model;
+    const proxy_service* service = admitted.catalog->find_service(admitted.service);
+    if (service == nullptr) {
+        return line;
+    }
+    const auto price = std::ranges::find(service->models, model, &model_price::name);
+    if (price != service->models.end()) {
+        line.cost = attempt_cost(price->cost * prompt_token_share, price->cost, prompt_tokens,
+                                 generated_tokens * service->tokens_per_event);
+        line.generated_tokens *= service->tokens_per_event;
+    }
+    return line;
+}
+
+void proxy_core::add_bill(const admission& admitted, bill_outcome outcome,
+                          std::vector<bill_line> lines, time_point now)
+{
+    if (lines.empty()) {
+        return;
+    }
+    const request_id id{settings_.self.vm, settings_.self.run, next_bill_++};
+    bills_.add({id, admitted.team, outcome, std::move(lines)}, now);
+}
+
+std::vector<bill_append> proxy_core::take_bill_appends(time_point now)
+{
+    std::vector<bill_append> out;
+    for (auto& step : bills_.tick(now)) {
+        // Without copy-holders the buffer puts out releases besides, which hold nothing back here.
+        if (auto* append = std::get_if<bill_append>(&step)) {
+            out.push_back(std::move(*append));
+        }
+    }
+    counters_.level("bill_buffer_bytes").set(static_cast<double>(bills_.bytes()));
+    return out;
+}
+
+void proxy_core::on_bills_appended(std::uint64_t id, bool stored, time_point now)
+{
+    std::vector<bill_output> ignored;
+    bills_.on_append_result(id, stored, now, ignored);
+}
+
 void proxy_core::note_answer(const admission& admitted, const placement& placed, bool failed,
                              bool slow)
 {
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -2,6 +2,7 @@
 
 #include "base/error.hpp"
 #include "base/metrics.hpp"
+#include "billing/bill_buffer.hpp"
 #include "proxy/catalog.hpp"
 #include "proxy/model_ladder.hpp"
 #include "proxy/peer_report.hpp"
@@ -110,6 +111,8 @@
     service_rollout_settings rollout{};
     model_ladder_settings models{};
     retry_settings retry{};
+    /// Bills go to the store in batches; each call there has its price.
+    bill_buffer_settings bills{.append_interval = 5s};
     double prefill_cost{0.06}; ///< money units for reading 1000 prompt tokens
     std::size_t prefix_entries{std::size_t{16} * 1024};
     std::uint64_t seed{1};
@@ -160,7 +163,7 @@
     /// Applies what is due with time; states that this VM should publish now.
     std::vector<rollout_publication> tick(time_point now);
     /// Reports not ready from now on.
-    void begin_stop() { stopping_ = true; }
+    void begin_stop();
     /// Refuses new requests, so that those in progress can end.
     void refuse_new() { refusing_ = true; }
 
@@ -172,6 +175,19 @@
     expected<placement> place(const admission& admitted, const proxied_request& request,
                               const send_history& history, time_point now);
     void count_request(const admission& admitted, time_point now);
+    /// Records the one bill of a request; without lines nothing ran and nothing is billed.
+    void add_bill(const admission& admitted, bill_outcome outcome, std::vector<bill_line> lines,
+                  time_point now);
+    /// Batches of bills that are due to be appended to the stream of bills.
+    std::vector<bill_append> take_bill_appends(time_point now);
+    /// Reply to an append; a failed one is repeated by take_bill_appends().
+    void on_bills_appended(std::uint64_t id, bool stored, time_point now);
+    /// Every bill is on the stream.
+    [[nodiscard]] bool bills_drained() const { return bills_.drained(); }
+    /// What one model's answer costs.
+    [[nodiscard]] bill_line bill_line_of(const admission& admitted, const placement& placed,
+                                         std::uint64_t prompt_tokens,
+                                         std::uint64_t generated_tokens) const;
     /// Ends what place() began.
     void finish(const placement& placed, const attempt_outcome& outcome, time_point now);
     /// A complete answer or a failure at the upstream, as evidence for its software.
@@ -247,6 +263,8 @@
     link_budget link_;
     retry_policy retries_;
     model_ladder models_;
+    bill_buffer bills_;
+    std::uint64_t next_bill_{1};
     std::map<std::string, retry_budget> budgets_;
     std::map<std::string, service_rollout> rollouts_;
     std::map<std::string, time_point> publication_due_;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -78,10 +78,12 @@
         if (!reason.retry_after) {
             reason.retry_after = refused_retry_after;
         }
-        return give_up(reason);
+        return give_up(reason, now);
     }
     placed_ = std::move(*placed);
     head_seen_ = false;
+    head_refused_ = false;
+    events_ = 0;
     first_event_at_.reset();
     sent_at_ = now + pause;
     history_.tried.push_back(placed_->ticket.replica);
@@ -183,6 +185,7 @@
 
 flow_step request_flow::refused_by_replica(const attempt_failure& failure, time_point now)
 {
+    head_refused_ = true;
     // The replica had a chance to answer, which says nothing against it.
     end_attempt(attempt_result::cancelled, now);
     return retry(failure, now);
@@ -194,6 +197,7 @@
         first_event_at_ = now;
     }
     answer_begun_ = true;
+    ++events_;
     if (id) {
         last_event_ = id;
     }
@@ -218,6 +222,10 @@
     if (!placed_) {
         return;
     }
+    if (head_seen_ && !head_refused_) {
+        bill_lines_.push_back(
+            core_.bill_line_of(*admitted_, *placed_, request_.prompt_tokens, events_));
+    }
     attempt_outcome outcome;
     outcome.result = result;
     outcome.first_token = first_event_at_.value_or(now) - sent_at_;
@@ -255,7 +263,7 @@
     }
     const bool in_doubt = run_ != run_state::not_run;
     if (history_.sends >= route.maximum_sends || (in_doubt && !route.repeatable())) {
-        return give_up(reason);
+        return give_up(reason, now);
     }
     failed_attempt facts;
     facts.code = failure.code;
@@ -267,13 +275,14 @@
     const retry_decision decision = core_.decide_retry(*admitted_, facts, now);
     if (decision.action == retry_action::stop) {
         reason.detail += " Not sent again: " + std::string{name_of(decision.refusal)} + ".";
-        return give_up(reason);
+        return give_up(reason, now);
     }
     return place(decision.wait, now);
 }
 
-flow_step request_flow::give_up(const error& reason)
+flow_step request_flow::give_up(const error& reason, time_point now)
 {
+    bill_request(bill_outcome::cancelled, now);
     error final_reason = reason;
     final_reason.run = run_;
     if (answer_begun_) {
@@ -288,11 +297,20 @@
         core_.note_answer(*admitted_, *placed_, failing_, slow(now));
     }
     end_attempt(failing_ ? attempt_result::failed : attempt_result::succeeded, now);
+    bill_request(failing_ ? bill_outcome::cancelled : bill_outcome::answered, now);
+}
+
+void request_flow::bill_request(bill_outcome outcome, time_point now)
+{
+    if (admitted_) {
+        core_.add_bill(*admitted_, outcome, std::exchange(bill_lines_, {}), now);
+    }
 }
 
 void request_flow::on_caller_gone(time_point now)
 {
     end_attempt(attempt_result::cancelled, now);
+    bill_request(bill_outcome::cancelled, now);
 }
 
 flow_step request_flow::on_deadline(time_point now)
@@ -309,7 +327,8 @@
                          {},
                          run_,
                          "No complete answer came in time.",
-                         {}});
+                         {}},
+                   now);
 }
 
 } // namespace wagtailhitch
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -98,12 +98,13 @@
 
 private:
     flow_step place(duration pause, time_point now);
-    flow_step give_up(const error& reason);
+    flow_step give_up(const error& reason, time_point now);
     flow_step retry(const attempt_failure& failure, time_point now);
     flow_step accept_or_escalate(const replica_head& head, time_point now);
     flow_step refused_by_replica(const attempt_failure& failure, time_point now);
     [[nodiscard]] bool slow(time_point now) const;
     void end_attempt(attempt_result result, time_point now);
+    void bill_request(bill_outcome outcome, time_point now);
     [[nodiscard]] duration head_timeout() const;
 
     proxy_core& core_;
@@ -111,13 +112,16 @@
     std::optional<admission> admitted_;
     std::optional<placement> placed_; ///< of the attempt under way
     send_history history_;
-    std::uint32_t retries_{0};  ///< after failures
-    std::uint32_t arrivals_{0}; ///< at replicas, also at those that refused
+    std::vector<bill_line> bill_lines_; ///< of attempts that ran
+    std::uint64_t events_{0};           ///< of the attempt under way
+    std::uint32_t retries_{0};          ///< after failures
+    std::uint32_t arrivals_{0};         ///< at replicas, also at those that refused
     time_point sent_at_;
     std::optional<time_point> first_event_at_; ///< of the attempt under way
     std::optional<std::uint64_t> last_event_;
     bool answer_begun_{false}; ///< the caller has part of an answer
     bool head_seen_{false};    ///< of the attempt under way
+    bool head_refused_{false}; ///< the replica did not run it
     bool failing_{false};      ///< the attempt under way answers with a failure
     run_state run_{run_state::not_run};
 };
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -65,6 +65,18 @@
     [[nodiscard]] bool sends() const { return std::holds_alternative<send_step>(step_); }
     [[nodiscard]] bool relays() const { return std::holds_alternative<relay_step>(step_); }
 
+    std::vector<bill> take_bills()
+    {
+        at_.clock.advance(6s);
+        std::vector<bill> out;
+        for (const auto& batch : at_.core.take_bill_appends(now())) {
+            const auto bills = decode_bill_batch(batch.data);
+            EXPECT_TRUE(bills.has_value());
+            out.insert(out.end(), bills->begin(), bills->end());
+        }
+        return out;
+    }
+
     proxy_deployment at_;
     std::unique_ptr<request_flow> flow_;
     flow_step step_;
@@ -215,6 +227,60 @@
     EXPECT_EQ(status(), 504U) << "The replica may have run it.";
 }
 
+TEST_F(request_flow_test, answered_request_has_one_bill_with_a_line_for_each_model_that_ran)
+{
+    start("/report/1");
+    replica_head doubtful = answered;
+    doubtful.confidence = 0.1;
+    step_ = flow_->on_head(doubtful, now());
+    step_ = flow_->on_head(answered, now());
+    flow_->on_event(1, now());
+    flow_->on_end(now());
+    const auto bills = take_bills();
+    ASSERT_EQ(bills.size(), 1U);
+    EXPECT_EQ(bills[0].team.value, "bulletins");
+    EXPECT_EQ(bills[0].outcome, bill_outcome::answered);
+    ASSERT_EQ(bills[0].lines.size(), 2U);
+    EXPECT_EQ(bills[0].lines[0].version.value, "engine@v1/small");
+    EXPECT_EQ(bills[0].lines[1].version.value, "engine@v1/large");
+    EXPECT_EQ(bills[0].lines[1].generated_tokens, 1U);
+}
+
+TEST_F(request_flow_test, request_that_nobody_ran_has_no_bill)
+{
+    start("/publish/1");
+    step_ = flow_->on_head(refused, now());
+    EXPECT_EQ(status(), 503U);
+    EXPECT_TRUE(take_bills().empty());
+}
+
+TEST_F(request_flow_test, work_for_a_caller_that_left_is_billed_as_cancelled)
+{
+    start("/report/1");
+    step_ = flow_->on_head(answered, now());
+    flow_->on_caller_gone(now());
+    const auto bills = take_bills();
+    ASSERT_EQ(bills.size(), 1U);
+    EXPECT_EQ(bills[0].outcome, bill_outcome::cancelled);
+}
+
+TEST_F(request_flow_test, bills_whose_append_failed_are_appended_again)
+{
+    start("/read/1");
+    step_ = flow_->on_head(answered, now());
+    flow_->on_end(now());
+    at_.clock.advance(6s);
+    const auto first = at_.core.take_bill_appends(now());
+    ASSERT_EQ(first.size(), 1U);
+    at_.core.on_bills_appended(first[0].id, false, now());
+    at_.clock.advance(6s);
+    const auto second = at_.core.take_bill_appends(now());
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].data, first[0].data);
+    at_.core.on_bills_appended(second[0].id, true, now());
+    EXPECT_TRUE(at_.core.bills_drained());
+}
+
 TEST_F(request_flow_test, retry_budget_bounds_what_a_failing_service_receives)
 {
     int sends_made = 0;
