Tell callers of a stopping VM that their connection closes also when the stop comes midway

Found by platform_node_test.planned_stop_finishes_the_request_under_way (real process, failed before): whether the connection closes was decided when the request came in, so that an answer under way at SIGTERM did not say so. It is decided when the head is written.

--- a/src/net/proxy/proxied_connection.cpp
+++ b/src/net/proxy/proxied_connection.cpp
@@ -186,7 +186,7 @@
 {
     answering_ = true;
     owner_.context.deadlines.cancel(deadline_);
-    keep_alive_ = parser_->keep_alive() && !owner_.draining;
+    keep_alive_ = parser_->keep_alive();
     if (owner_.settings.page) {
         serve_page();
         return;
@@ -194,7 +194,6 @@
     auto message = parser_->release();
     answer_form form;
     form.chunked = message.version() >= 11;
-    form.close_after = !keep_alive_;
     form.head_only = message.method() == http::verb::head;
     answer_sink sink;
     const auto self = weak_from_this();
@@ -208,6 +207,10 @@
             it->answer_done();
         }
     };
+    sink.closes = [self] {
+        const auto it = self.lock();
+        return !it || !it->keep_alive_ || it->owner_.draining;
+    };
     sink.abort = [self] {
         if (const auto it = self.lock()) {
             it->close_after_write_ = true;
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -269,9 +269,9 @@
         append_header(out, "Transfer-Encoding", "chunked");
     }
     else {
-        form_.close_after = true;
+        unframed_ = true;
     }
-    if (form_.close_after) {
+    if (unframed_ || sink_.closes()) {
         append_header(out, "Connection", "close");
     }
     out += "\r\n";
@@ -330,6 +330,10 @@
     }
     log_finished(answer_.status, "answered", {});
     end();
+    if (unframed_) {
+        sink_.abort();
+        return;
+    }
     sink_.finish();
 }
 
@@ -345,7 +349,7 @@
     }
     append_header(out, "Content-Type", "application/json");
     append_header(out, "Content-Length", std::to_string(body.size()));
-    if (form_.close_after) {
+    if (sink_.closes()) {
         append_header(out, "Connection", "close");
     }
     out += "\r\n";
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -35,12 +35,12 @@
     std::function<void(std::string)> write;
     std::function<void()> finish;
     std::function<void()> abort; ///< closes the connection, so that the answer is seen as cut
+    std::function<bool()> closes; ///< whether the connection is closed after the answer
 };
 
 /// Facts of the caller's connection that shape the answer.
 struct answer_form {
     bool chunked{true};      ///< HTTP/1.1; otherwise the connection's end ends a stream
-    bool close_after{false}; ///< the connection is closed after the answer
     bool head_only{false};   ///< HEAD: no body follows
 };
 
@@ -93,6 +93,7 @@
     relay_mode mode_{relay_mode::none};
     detail::answer_head answer_; ///< of the attempt that is relayed
     bool head_written_{false};
+    bool unframed_{false}; ///< the end of the connection ends the answer
     std::string whole_;
     event_splitter events_;
     std::optional<time_point> first_byte_at_;
--- /dev/null
+++ b/tests/process/platform_node_test.cpp
@@ -0,0 +1,321 @@
+#include "child_process.hpp"
+#include "http_call.hpp"
+#include "net/endpoint.hpp"
+#include "platform/testing/store_standin.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <map>
+#include <memory>
+#include <optional>
+#include <thread>
+
+// One VM as a real process, with a stand-in of the platform's store and replicas in the test.
+
+namespace wagtailhitch::testing {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using platform::testing::standin_fault;
+using platform::testing::store_standin;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+/// Answers every request after a delay; runs on the test's I/O thread.
+class replica_standin {
+public:
+    replica_standin(asio::io_context& io, std::string id)
+        : io_{io}, acceptor_{io.get_executor()}, id_{std::move(id)}
+    {
+        EXPECT_TRUE(detail::listen_on(acceptor_, "127.0.0.1:0").has_value());
+        address = detail::to_string(acceptor_.local_endpoint());
+        accept();
+    }
+
+    std::string address;
+    std::atomic<int> runs{0};
+    std::atomic<int> delay_ms{0};
+
+private:
+    struct connection {
+        explicit connection(detail::tcp_socket taken)
+            : socket{std::move(taken)}, timer{socket.get_executor()}
+        {
+        }
+        detail::tcp_socket socket;
+        asio::steady_timer timer;
+        boost::beast::flat_buffer buffer;
+        http::request<http::string_body> request;
+        http::response<http::string_body> reply;
+    };
+    using connection_ptr = std::shared_ptr<connection>;
+
+    void accept()
+    {
+        acceptor_.async_accept([this](boost::system::error_code ec, detail::tcp_socket socket) {
+            if (!ec) {
+                serve(std::make_shared<connection>(std::move(socket)));
+                accept();
+            }
+        });
+    }
+
+    void serve(const connection_ptr& it)
+    {
+        it->request = {};
+        http::async_read(it->socket, it->buffer, it->request,
+                         [this, it](boost::system::error_code ec, std::size_t) {
+                             if (ec) {
+                                 return;
+                             }
+                             ++runs;
+                             it->timer.expires_after(milliseconds{delay_ms.load()});
+                             it->timer.async_wait(
+                                 [this, it](boost::system::error_code) { answer(it); });
+                         });
+    }
+
+    void answer(const connection_ptr& it)
+    {
+        it->reply = {};
+        it->reply.version(11);
+        it->reply.result(200);
+        it->reply.set("Attempt-Id", it->request["Attempt-Id"]);
+        it->reply.set("Replica-Signature", "sig-" + id_);
+        it->reply.body() = "from " + id_ + " for " + std::string{it->request["Tenant"]};
+        it->reply.prepare_payload();
+        http::async_write(it->socket, it->reply,
+                          [this, it](boost::system::error_code ec, std::size_t) {
+                              if (!ec) {
+                                  serve(it);
+                              }
+                          });
+    }
+
+    asio::io_context& io_;
+    detail::tcp_acceptor acceptor_;
+    std::string id_;
+};
+
+json configuration(int version, const std::vector<std::string>& keys)
+{
+    return {{"version", version},
+            {"routes",
+             {{{"name", "publish"},
+               {"host", "a.example"},
+               {"pathPrefix", "/publish/"},
+               {"kind", "non_idempotent"},
+               {"timeoutMs", 5000},
+               {"targetLatencyMs", 300},
+               {"service", "app"},
+               {"maxAttempts", 1}}}},
+            {"services", {{{"name", "app"}}}},
+            {"tenants", {{{"name", "bulletins"}, {"apiKeys", keys}}}}};
+}
+
+class platform_node_test : public ::testing::Test {
+protected:
+    void SetUp() override
+    {
+        on_io([this] {
+            store_ = std::make_unique<store_standin>(io_);
+            replica_ = std::make_unique<replica_standin>(io_, "i-1");
+            store_->put("keyed.op", "config", configuration(1, {"key-1"}).dump());
+            store_->put("keyed.servers", "i-1",
+                        json{{"service", "app"},
+                             {"address", replica_->address},
+                             {"zone", "a"},
+                             {"version", "v1"},
+                             {"slots", 4},
+                             {"state", "ready"},
+                             {"seq", 1},
+                             {"born", 1000}}
+                            .dump());
+        });
+        callers_ = free_port();
+        ready_ = free_port();
+        json settings = {
+            {"nodeName", "front-a-1"},
+            {"ip", "127.0.0.1"},
+            {"zone", "a"},
+            {"region", "south"},
+            {"zones", {{"a", "south"}}},
+            {"listen",
+             {{"front", "127.0.0.1:" + std::to_string(callers_)},
+              {"ready", "127.0.0.1:" + std::to_string(ready_)}}},
+            {"internalPorts", {free_port(), 65535}},
+            {"limits", {{"maxFds", 1000}}},
+            {"bounds", {{"revokeMs", 2000}, {"graceS", 8}}},
+            {"platform", {{"address", store_->address()}}},
+        };
+        std::ofstream{files_.path("boot.json")} << settings.dump();
+        start();
+    }
+
+    void TearDown() override
+    {
+        vm_.reset();
+        on_io([this] {
+            store_.reset();
+            work_.reset();
+        });
+        io_.stop();
+        thread_.join();
+    }
+
+    void start()
+    {
+        vm_ = std::make_unique<child_process>(
+            WAGTAILHITCH_BINARY,
+            std::vector<std::string>{"serve-platform", "--settings", files_.path("boot.json")});
+        ASSERT_TRUE(wait_until([this] { return ready_status() == 200; }))
+            << "The VM did not become ready.";
+    }
+
+    /// A port that was free a moment ago.
+    static std::uint16_t free_port()
+    {
+        asio::io_context io;
+        detail::tcp_acceptor acceptor{io.get_executor()};
+        EXPECT_TRUE(detail::listen_on(acceptor, "127.0.0.1:0").has_value());
+        return acceptor.local_endpoint().port();
+    }
+
+    template<typename Action> void on_io(Action action)
+    {
+        std::promise<void> done;
+        asio::post(io_, [&] {
+            action();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+    template<typename Condition> static bool wait_until(Condition condition)
+    {
+        const auto until = steady_clock::now() + seconds{20};
+        while (!condition()) {
+            if (steady_clock::now() > until) {
+                return false;
+            }
+            std::this_thread::sleep_for(milliseconds{20});
+        }
+        return true;
+    }
+
+    unsigned ready_status() const
+    {
+        try {
+            return http_call(ready_, "GET", "/readyz").status;
+        }
+        catch (const std::exception&) {
+            return 0;
+        }
+    }
+
+    http_reply publish(const std::string& key) const
+    {
+        return http_call(callers_, "POST", "/publish/1", "{}", headers(key));
+    }
+
+    static std::map<std::string, std::string> headers(const std::string& key)
+    {
+        return {{"Host", "a.example"},
+                {"Attempt-Id", "id-1"},
+                {"Deadline-Ms", "4000"},
+                {"Authorization", "Token " + key}};
+    }
+
+    scratch_directory files_;
+    asio::io_context io_;
+    std::optional<asio::executor_work_guard<asio::io_context::executor_type>> work_{
+        asio::make_work_guard(io_)};
+    std::thread thread_{[this] { io_.run(); }};
+    std::unique_ptr<store_standin> store_;
+    std::unique_ptr<replica_standin> replica_;
+    std::uint16_t callers_{0};
+    std::uint16_t ready_{0};
+    std::unique_ptr<child_process> vm_;
+};
+
+TEST_F(platform_node_test, request_is_answered_by_the_replica_under_its_teams_name)
+{
+    const auto reply = publish("key-1");
+    EXPECT_EQ(reply.status, 200U);
+    EXPECT_EQ(reply.text, "from i-1 for bulletins");
+    EXPECT_EQ(reply.headers.at("replica-signature"), "sig-i-1");
+    EXPECT_EQ(reply.headers.at("attempt-id"), "id-1");
+}
+
+TEST_F(platform_node_test, revoked_key_is_refused_once_the_change_is_read)
+{
+    EXPECT_EQ(publish("key-2").status, 401U);
+    on_io([this] { store_->put("keyed.op", "config", configuration(2, {"key-2"}).dump()); });
+    EXPECT_TRUE(wait_until([this] { return publish("key-2").status == 200; }));
+    EXPECT_EQ(publish("key-1").status, 401U);
+}
+
+TEST_F(platform_node_test, silent_store_stops_keyed_requests_in_time_and_its_return_resumes_them)
+{
+    on_io([this] { store_->on_call([](const std::string&) { return standin_fault::silent; }); });
+    const auto silent_at = steady_clock::now();
+    EXPECT_TRUE(wait_until([this] { return publish("key-1").status == 503; }));
+    EXPECT_LE(steady_clock::now() - silent_at, seconds{2}) << "A revoked key must not be used.";
+    const int runs = replica_->runs;
+    EXPECT_EQ(publish("key-1").status, 503U);
+    EXPECT_EQ(replica_->runs, runs) << "A refused request must not run.";
+    EXPECT_EQ(ready_status(), 503U);
+    on_io([this] { store_->on_call({}); });
+    EXPECT_TRUE(wait_until([this] { return publish("key-1").status == 200; }));
+}
+
+TEST_F(platform_node_test, planned_stop_finishes_the_request_under_way)
+{
+    replica_->delay_ms = 1500;
+    http_connection caller{callers_};
+    caller.send("POST", "/publish/1", "{}", headers("key-1"));
+    ASSERT_TRUE(wait_until([this] { return replica_->runs == 1; }));
+    vm_->send_signal(SIGTERM);
+    EXPECT_TRUE(wait_until([this] { return ready_status() == 503; }));
+    const auto reply = caller.receive();
+    EXPECT_EQ(reply.status, 200U);
+    EXPECT_TRUE(reply.complete);
+    EXPECT_EQ(reply.headers.at("connection"), "close");
+    EXPECT_EQ(vm_->wait(), 0);
+    on_io([this] { EXPECT_FALSE(store_->value("keyed.wagtailhitch-vms", "front-a-1").empty()); });
+}
+
+TEST_F(platform_node_test, killed_vm_serves_again_after_its_restart)
+{
+    EXPECT_EQ(publish("key-1").status, 200U);
+    vm_->send_signal(SIGKILL);
+    vm_->wait();
+    start();
+    EXPECT_EQ(publish("key-1").status, 200U);
+}
+
+TEST_F(platform_node_test, stopped_process_uses_no_key_that_may_have_been_revoked_meanwhile)
+{
+    EXPECT_EQ(publish("key-1").status, 200U);
+    vm_->send_signal(SIGSTOP);
+    on_io([this] { store_->on_call([](const std::string&) { return standin_fault::silent; }); });
+    std::this_thread::sleep_for(milliseconds{2100});
+    vm_->send_signal(SIGCONT);
+    EXPECT_EQ(publish("key-1").status, 503U);
+}
+
+} // namespace
+} // namespace wagtailhitch::testing
