--- a/src/net/proxy/proxied_connection.cpp
+++ b/src/net/proxy/proxied_connection.cpp
@@ -197,9 +197,9 @@
     form.head_only = message.method() == http::verb::head;
     answer_sink sink;
     const auto self = weak_from_this();
-    sink.write = [self](std::string bytes) {
+    sink.write = [self](std::string_view bytes) {
         if (const auto it = self.lock()) {
-            it->write(std::move(bytes));
+            it->write(bytes);
         }
     };
     sink.finish = [self] {
@@ -236,7 +236,7 @@
     out += "\r\nContent-Length: " + std::to_string(page.body.size());
     out += keep_alive_ ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n";
     out += page.body;
-    write(std::move(out));
+    write(out);
     answer_done();
 }
 
@@ -251,10 +251,10 @@
     out += "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
     answering_ = true;
     close_after_write_ = true;
-    write(std::move(out));
+    write(out);
 }
 
-void proxied_connection::write(std::string bytes)
+void proxied_connection::write(std::string_view bytes)
 {
     if (closed_) {
         return;
--- a/src/net/proxy/proxied_connection.hpp
+++ b/src/net/proxy/proxied_connection.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 
 // One connection of a caller: reads requests in turn and answers them in the same order.
@@ -62,7 +63,7 @@
     void take_request();
     void serve_page();
     void reject(unsigned status, std::string_view why);
-    void write(std::string bytes);
+    void write(std::string_view bytes);
     void flush();
     void on_written(boost_error ec);
     void answer_done();
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -237,19 +237,19 @@
         }
     });
     if (!fresh.empty()) {
-        write_events(std::move(fresh));
+        write_events(fresh);
     }
     if (!sound) {
         fail_attempt(error_code::stream_broken, run_state::ran, "An event exceeds the limit.");
     }
 }
 
-void proxied_exchange::write_events(std::string events)
+void proxied_exchange::write_events(std::string_view events)
 {
     if (!head_written_) {
         write_head(std::nullopt);
     }
-    sink_.write(form_.chunked ? chunk_of(events) : std::move(events));
+    sink_.write(form_.chunked ? chunk_of(events) : events);
 }
 
 void proxied_exchange::write_head(std::optional<std::size_t> length)
@@ -275,7 +275,7 @@
         append_header(out, "Connection", "close");
     }
     out += "\r\n";
-    sink_.write(std::move(out));
+    sink_.write(out);
 }
 
 void proxied_exchange::on_end(const detail::call_failure* failure)
@@ -325,7 +325,7 @@
     else {
         write_head(whole_.size());
         if (!form_.head_only) {
-            sink_.write(std::move(whole_));
+            sink_.write(whole_);
         }
     }
     log_finished(answer_.status, "answered", {});
@@ -362,7 +362,7 @@
         .add();
     log_finished(step.status, "refused", step.reason.detail);
     end();
-    sink_.write(std::move(out));
+    sink_.write(out);
     sink_.finish();
 }
 
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -32,16 +32,16 @@
 
 /// The way of an answer to the caller. `finish` and `abort` end the exchange.
 struct answer_sink {
-    std::function<void(std::string)> write;
+    std::function<void(std::string_view)> write;
     std::function<void()> finish;
-    std::function<void()> abort; ///< closes the connection, so that the answer is seen as cut
+    std::function<void()> abort;  ///< closes the connection, so that the answer is seen as cut
     std::function<bool()> closes; ///< whether the connection is closed after the answer
 };
 
 /// Facts of the caller's connection that shape the answer.
 struct answer_form {
-    bool chunked{true};      ///< HTTP/1.1; otherwise the connection's end ends a stream
-    bool head_only{false};   ///< HEAD: no body follows
+    bool chunked{true};    ///< HTTP/1.1; otherwise the connection's end ends a stream
+    bool head_only{false}; ///< HEAD: no body follows
 };
 
 class proxied_exchange : public std::enable_shared_from_this<proxied_exchange> {
@@ -71,7 +71,7 @@
     void relay_events(std::string_view bytes);
     void fail_attempt(error_code code, run_state run, std::string detail);
     void write_head(std::optional<std::size_t> length);
-    void write_events(std::string events);
+    void write_events(std::string_view events);
     void finish_answer();
     void on_deadline();
     void cancel_call();
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -30,6 +30,8 @@
 /// Requests above this multiple of a replica's slots wait longer there than a caller's retry takes.
 constexpr double overload = 2.0;
 constexpr duration shortest_retry_after = 100ms;
+/// Of a plain answer or a stream of a few dozen events, with their headers.
+constexpr double expected_answer_bytes = 4000;
 /// What a prompt token costs relative to a generated one.
 constexpr double prompt_token_share = 0.25;
 /// Another VM can take the request at once.
@@ -237,7 +239,9 @@
                                    rollout.published(), rollout.reason()});
     }
     for (const auto& [group, counts] : own_evidence_) {
-        report.evidence.push_back({group, counts});
+        if (is_judged(group)) {
+            report.evidence.push_back({group, counts});
+        }
     }
     for (const auto& [session, entry] : sessions_) {
         const duration age = now - entry.used_at;
@@ -249,6 +253,14 @@
     return report;
 }
 
+bool proxy_core::is_judged(const version_id& group) const
+{
+    return std::ranges::any_of(rollouts_, [&group](const auto& item) {
+        return item.second.state() == rollout_state::running &&
+               group.value.starts_with(item.first + "@");
+    });
+}
+
 std::vector<rollout_publication> proxy_core::tick(time_point now)
 {
     std::erase_if(peers_, [&](const auto& item) {
@@ -599,6 +611,7 @@
     wanted.block_sizes = sizes;
     wanted.prompt_tokens = request.prompt_tokens;
     wanted.request_bytes = static_cast<double>(request.body_bytes);
+    wanted.answer_bytes = expected_answer_bytes;
     wanted.first_token_target = admitted.route->target_latency / 3;
     wanted.prefill_pace = model ? models_.pace(ladder, *model) : 1;
     wanted.cost_per_1k_input = settings_.prefill_cost;
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -245,6 +245,8 @@
     void refresh_pool(time_point now);
     void refresh_loads(time_point now);
     void judge_rollouts(time_point now);
+    /// Whether the counts of a group of requests decide a roll-out now.
+    [[nodiscard]] bool is_judged(const version_id& group) const;
     [[nodiscard]] bool publishes(time_point now, duration waited) const;
 
     proxy_settings settings_;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -11,11 +11,12 @@
 constexpr duration refused_retry_after = 150ms;
 /// Shortest wait for the first byte of an answer before the replica counts as silent.
 constexpr duration shortest_head_timeout = 250ms;
-/// Multiple of a stream's latency target after which a replica without any answer counts as silent.
-/// Sooner, work of a loaded replica would be thrown away and asked for again.
-constexpr double stream_head_share = 1.2;
-/// Part of the target for plain requests, whose replicas answer in a fraction of it.
-constexpr double plain_head_share = 0.8;
+/// A replica counts as silent after this multiple of the expected time without any answer, between
+/// two parts of the latency target. Sooner, work of a loaded replica would be thrown away and asked
+/// for again; later, a lost answer leaves no time for another replica.
+constexpr double patience = 6;
+constexpr double least_patience_share = 0.35;
+constexpr double most_patience_share = 1.2;
 /// First event later than this part of the target counts as slow in the evidence of a roll-out.
 constexpr double slow_share = 0.5;
 
@@ -115,11 +116,10 @@
     if (!may_repeat) {
         return left;
     }
-    const bool stream = route.kind == repeat_kind::stream;
-    const duration patience =
-        scale(route.target_latency, stream ? stream_head_share : plain_head_share) +
-        2 * placed_->expected_first_token;
-    return std::min(left, std::max(shortest_head_timeout, patience));
+    const duration waited = std::clamp(scale(placed_->expected_first_token, patience),
+                                       scale(route.target_latency, least_patience_share),
+                                       scale(route.target_latency, most_patience_share));
+    return std::min(left, std::max(shortest_head_timeout, waited));
 }
 
 flow_step request_flow::on_head(const replica_head& head, time_point now)
--- a/src/routing/replica_chooser.cpp
+++ b/src/routing/replica_chooser.cpp
@@ -133,6 +133,19 @@
     return wait + (start + prefill) * batch + 2 * seconds(latency_to(it.distance));
 }
 
+double replica_chooser::cost_per_mb(locality distance) const
+{
+    switch (distance) {
+    case locality::domain:
+        return 0;
+    case locality::region:
+        return settings_.region_cost_per_mb;
+    case locality::remote:
+        return settings_.link_cost_per_mb;
+    }
+    return settings_.link_cost_per_mb;
+}
+
 duration replica_chooser::latency_to(locality distance) const
 {
     switch (distance) {
@@ -171,8 +184,7 @@
     const double time = ramped * in.pool.slowness(replica, in.now);
     const locality distance = in.pool.view(replica).distance;
     const double bytes = in.request.request_bytes + in.request.answer_bytes;
-    const double link_cost =
-        distance == locality::remote ? bytes / bytes_per_mb * settings_.link_cost_per_mb : 0;
+    const double link_cost = bytes / bytes_per_mb * cost_per_mb(distance);
     const double cost =
         link_cost + uncached / in.request.prefill_pace / 1000 * in.request.cost_per_1k_input;
     scored_choice result;
--- a/src/routing/replica_chooser.hpp
+++ b/src/routing/replica_chooser.hpp
@@ -40,6 +40,7 @@
     double latency_weight{1};
     double cost_weight{0};        ///< seconds of first-token time that one money unit is worth
     double link_cost_per_mb{0};   ///< money units per 10^6 bytes over the paid link
+    double region_cost_per_mb{0}; ///< the same between failure domains of the region
     double doubtful_value{0.8};   ///< part of a doubtful prefix match that is believed
     std::uint32_t sharing_vms{1}; ///< VMs that send to the same replicas; see estimate_load()
     /// Part of the other VMs' work since the report that is assumed to mirror this VM's, 0 to 1.
@@ -122,6 +123,7 @@
     [[nodiscard]] double predict(const replica_pool& pool, replica_index replica,
                                  double uncached_tokens, double capacity) const;
     [[nodiscard]] duration latency_to(locality distance) const;
+    [[nodiscard]] double cost_per_mb(locality distance) const;
     void search(scope& in, locality distance, std::mt19937_64& generator,
                 std::optional<scored_choice>& best);
     void search_by_time(scope& in, std::span<const replica_index> members,
