--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -10,23 +10,6 @@
 
 namespace {
 
-/// Pool of all software versions of a service, while none is being rolled out.
-version_id any_software(std::string_view service)
-{
-    return software_version(service, "*");
-}
-
-/// Evidence is judged for a service as a whole and for each route, so that a version that is bad
-/// for one kind of request only is found as well.
-version_id evidence_group(const version_id& version, std::string_view route)
-{
-    return version_id{version.value + "#" + std::string{route}};
-}
-
-/// A publisher that holds back lets the one before it act first.
-constexpr duration publisher_turn = 700ms;
-/// A publication that has not shown up in the store is repeated.
-constexpr duration publication_repeat = 1s;
 /// Requests above this multiple of a replica's slots wait longer there than a caller's retry takes.
 constexpr double overload = 2.0;
 constexpr duration shortest_retry_after = 100ms;
@@ -72,313 +55,11 @@
       directory_{settings_.directory, settings_.regions}, pool_{settings_.pool},
       chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
       link_{{.bytes_per_second = settings_.link_bytes_per_second}, now}, retries_{settings_.retry},
-      models_{settings_.models}, bills_{settings_.self, settings_.bills}, sessions_swept_at_{now}
-{
-}
-
-bool proxy_core::set_catalog(std::shared_ptr<const proxy_catalog> catalog)
-{
-    if (catalog_ && catalog->version() <= catalog_->version()) {
-        return false;
-    }
-    catalog_ = std::move(catalog);
-    return true;
-}
-
-void proxy_core::confirm(time_point asked_at)
-{
-    confirmed_at_ = std::max(confirmed_at_, asked_at);
-}
-
-void proxy_core::note_read(log_offset position, time_point asked_at)
-{
-    position_ = position;
-    read_at_ = asked_at;
-}
-
-// The order of a roll-out is written before its replicas start, so that a read which began after
-// the first of them was seen has found the order, if there is one.
-bool proxy_core::is_explained(const std::string& service, const std::string& software) const
-{
-    return directory_.first_seen(software_version(service, software)) <= read_at_;
-}
-
-bool proxy_core::has_unexplained_software() const
-{
-    return std::ranges::any_of(directory_.entries(), [this](const auto& item) {
-        const replica_announcement& replica = item.second.announcement;
-        return !is_explained(replica.service, replica.software);
-    });
-}
-
-bool proxy_core::behind_peers(time_point now) const
-{
-    return std::ranges::any_of(peers_, [&](const auto& item) {
-        return now - item.second.heard_at <= settings_.peer_timeout &&
-               item.second.report.position > position_;
-    });
-}
-
-void proxy_core::set_bounds(duration key_validity, duration certain_refusal)
-{
-    settings_.key_validity = key_validity;
-    settings_.certain_refusal = certain_refusal;
-}
-
-void proxy_core::note_address_reused(const upstream_id& id, time_point now)
-{
-    counters_.count("replicas_replaced_total").add();
-    directory_.retire(id);
-    if (directory_.tick(now)) {
-        refresh_pool(now);
-    }
-}
-
-void proxy_core::order_rollout(const rollout_order& order, time_point now)
-{
-    const auto it = rollouts_.find(order.service);
-    if (it != rollouts_.end() && it->second.order() == order) {
-        return;
-    }
-    rollouts_.erase(order.service);
-    rollouts_.emplace(order.service, service_rollout{order, now, settings_.rollout});
-}
-
-void proxy_core::note_published(const std::string& service, const std::string& target,
-                                rollout_state state)
-{
-    const auto it = rollouts_.find(service);
-    if (it != rollouts_.end() && it->second.order().target == target) {
-        it->second.note_published(state);
-    }
-}
-
-void proxy_core::note_rollout_age(const std::string& service, const std::string& target,
-                                  duration age, time_point now)
-{
-    const auto it = rollouts_.find(service);
-    if (it != rollouts_.end() && it->second.order().target == target) {
-        it->second.note_age(std::clamp(age, duration{0}, it->second.order().period), now);
-    }
-}
-
-bool proxy_core::take_report(const peer_report& report, time_point now)
-{
-    if (report.from == settings_.self || report.from.vm == settings_.self.vm) {
-        return false;
-    }
-    auto& known = peers_[report.from.vm];
-    const auto order = [](const peer_report& r) { return std::pair{r.from.run, r.sequence}; };
-    if (known.heard_at != time_point{} && order(report) <= order(known.report)) {
-        return false;
-    }
-    known.report = report;
-    known.heard_at = now;
-    confirm_by_peer(report);
-    for (const auto& item : report.evidence) {
-        evidence_.set(report.from, item.group, item.counts);
-    }
-    for (const auto& item : report.sessions) {
-        remember_session(item.session, item.software, now - item.age);
-    }
-    for (const auto& item : report.rollouts) {
-        const auto it = rollouts_.find(item.order.service);
-        if (it == rollouts_.end() || it->second.order() != item.order) {
-            continue;
-        }
-        it->second.note_age(item.age, now);
-        if (item.published) {
-            it->second.note_published(*item.published);
-        }
-        it->second.note_decided(item.state, item.reason);
-    }
-    return true;
-}
-
-// The peer's read began before the report was sent by the age it states; the report was sent after
-// the peer took the named report of this VM, which was made at a known time.
-void proxy_core::confirm_by_peer(const peer_report& report)
-{
-    if (!catalog_ || report.configuration != catalog_->version()) {
-        return;
-    }
-    for (const auto& heard : report.heard) {
-        const bool known = heard.sequence <= report_sequence_ &&
-                           report_sequence_ - heard.sequence < reports_made_at_.size();
-        if (heard.from == settings_.self && known) {
-            confirm(reports_made_at_[heard.sequence % reports_made_at_.size()] -
-                    report.confirmed_age);
-        }
-    }
-}
-
-peer_report proxy_core::make_report(time_point now)
-{
-    peer_report report;
-    report.from = settings_.self;
-    report.address = settings_.report_address;
-    report.sequence = ++report_sequence_;
-    reports_made_at_[report_sequence_ % reports_made_at_.size()] = now;
-    for (const auto& [vm, item] : peers_) {
-        if (now - item.heard_at <= settings_.peer_timeout) {
-            report.heard.push_back({item.report.from, item.report.sequence});
-        }
-    }
-    report.configuration = catalog_ ? catalog_->version() : 0;
-    report.position = position_;
-    report.confirmed_age = configuration_age(now);
-    report.leaving = stopping_;
-    for (const auto& [id, entry] : directory_.entries()) {
-        const auto replica = pool_.find(id);
-        if (replica && pool_.load(*replica).in_flight > 0) {
-            report.loads.push_back({id, pool_.load(*replica).in_flight});
-        }
-    }
-    for (const auto& [service, rollout] : rollouts_) {
-        report.rollouts.push_back({rollout.order(), rollout.age(now), rollout.state(),
-                                   rollout.published(), rollout.reason()});
-    }
-    for (const auto& [group, counts] : own_evidence_) {
-        if (is_judged(group)) {
-            report.evidence.push_back({group, counts});
-        }
-    }
-    for (const auto& [session, entry] : sessions_) {
-        const duration age = now - entry.used_at;
-        if (age <= settings_.session_memory &&
-            service_rollout::exposes(session, settings_.rollout)) {
-            report.sessions.push_back({session, entry.software, age});
-        }
-    }
-    return report;
-}
-
-bool proxy_core::is_judged(const version_id& group) const
-{
-    return std::ranges::any_of(rollouts_, [&group](const auto& item) {
-        return item.second.state() == rollout_state::running &&
-               group.value.starts_with(item.first + "@");
-    });
-}
-
-std::vector<rollout_publication> proxy_core::tick(time_point now)
-{
-    std::erase_if(peers_, [&](const auto& item) {
-        return now - item.second.heard_at > settings_.peer_timeout * 4;
-    });
-    if (directory_.tick(now)) {
-        refresh_pool(now);
-    }
-    refresh_loads(now);
-    judge_rollouts(now);
-    if (now - sessions_swept_at_ > settings_.session_memory) {
-        sessions_swept_at_ = now;
-        std::erase_if(sessions_, [&](const auto& item) {
-            return now - item.second.used_at > settings_.session_memory;
-        });
-    }
-    std::vector<rollout_publication> out;
-    for (auto& [service, rollout] : rollouts_) {
-        if (rollout.published() == rollout.state()) {
-            continue;
-        }
-        const auto [due, added] = publication_due_.try_emplace(service, now);
-        if (publishes(now, now - due->second)) {
-            due->second = now + publication_repeat;
-            out.push_back({service, rollout.order().target, rollout.state(), rollout.reason()});
-        }
-    }
-    return out;
-}
-
-bool proxy_core::publishes(time_point now, duration waited) const
-{
-    std::size_t rank = 0;
-    for (const auto& [vm, item] : peers_) {
-        const bool live = now - item.heard_at <= settings_.peer_timeout && !item.report.leaving;
-        rank += live && vm < settings_.self.vm ? 1 : 0;
-    }
-    return waited >= publisher_turn * static_cast<int>(rank);
-}
-
-void proxy_core::judge_rollouts(time_point now)
-{
-    for (auto& [service, rollout] : rollouts_) {
-        if (rollout.state() != rollout_state::running) {
-            continue;
-        }
-        const std::string& target = rollout.order().target;
-        const version_id fresh = software_version(service, target);
-        std::vector<std::string> groups{""};
-        if (catalog_) {
-            for (const auto& route : catalog_->routes()) {
-                groups.push_back(route.name);
-            }
-        }
-        std::uint32_t old_in_flight = 0;
-        for (const auto& [id, entry] : directory_.entries()) {
-            const auto replica = pool_.find(id);
-            if (replica && entry.announcement.service == service &&
-                entry.announcement.software != target) {
-                old_in_flight += static_cast<std::uint32_t>(pool_.load(*replica).reported) +
-                                 pool_.load(*replica).in_flight;
-            }
-        }
-        std::uint64_t answers = 0;
-        for (const auto& route : groups) {
-            version_counts baseline;
-            for (const auto& software : directory_.software_of(service)) {
-                if (software != target) {
-                    baseline +=
-                        evidence_.total(evidence_group(software_version(service, software), route));
-                }
-            }
-            const version_counts counts = evidence_.total(evidence_group(fresh, route));
-            answers = route.empty() ? counts.answers : answers;
-            if (counts.answers > 0 && rollout.judge(counts, baseline)) {
-                counters_.count("rollouts_halted_total").add();
-                publication_due_.erase(service);
-            }
-        }
-        const auto before = rollout.state();
-        if (rollout.due(answers, old_in_flight, now) != before) {
-            publication_due_.erase(service);
-        }
-    }
-}
-
-void proxy_core::refresh_pool(time_point now)
-{
-    auto upstreams = directory_.upstreams();
-    for (auto& [id, spec] : upstreams) {
-        spec.versions.push_back(any_software(directory_.find(id)->announcement.service));
-    }
-    pool_.configure(upstreams, now);
-    for (const auto& [id, spec] : upstreams) {
-        pool_.set_health(id, replica_health::usable, directory_.find(id)->announcement.started_ms,
-                         now);
-    }
-}
-
-void proxy_core::refresh_loads(time_point now)
+      models_{settings_.models}, bills_{settings_.self, settings_.bills},
+      rollouts_{settings_.self, settings_.rollout}, peers_{settings_.self, settings_.report_address,
+                                                           settings_.peer_timeout},
+      sessions_{settings_.session_memory}
 {
-    std::map<upstream_id, std::uint32_t> sums;
-    for (const auto& [vm, item] : peers_) {
-        if (now - item.heard_at > settings_.peer_timeout) {
-            continue;
-        }
-        for (const auto& load : item.report.loads) {
-            sums[load.upstream] += load.in_flight;
-        }
-    }
-    for (const auto& [id, entry] : directory_.entries()) {
-        const auto replica = pool_.find(id);
-        if (replica) {
-            const std::uint32_t own = pool_.load(*replica).in_flight;
-            pool_.report_load(id, {.running = own + sums[id], .waiting = 0, .age = duration{0}},
-                              now);
-        }
-    }
 }
 
 error proxy_core::refusal(error_code code, step at, std::string detail,
@@ -472,45 +153,25 @@
         return is_explained(admitted.service, software);
     });
     if (explained.empty() || explained.size() == present.size()) {
-        return "*";
+        return std::string{any_software};
     }
     return explained[admitted.point % explained.size()];
 }
 
-const std::string* proxy_core::session_software(const std::string& session, time_point now) const
-{
-    if (session.empty()) {
-        return nullptr;
-    }
-    const auto it = sessions_.find(hash64(session));
-    const bool known =
-        it != sessions_.end() && now - it->second.used_at <= settings_.session_memory;
-    return known ? &it->second.software : nullptr;
-}
-
-void proxy_core::remember_session(std::uint64_t session, const std::string& software,
-                                  time_point now)
-{
-    session_entry& entry = sessions_[session];
-    if (now >= entry.used_at) {
-        entry = {software, now};
-    }
-}
-
 std::string proxy_core::choose_software(const admission& admitted, const proxied_request& request,
                                         const send_history& history, time_point now) const
 {
-    const auto rollout = rollouts_.find(admitted.service);
-    if (rollout == rollouts_.end()) {
+    const service_rollout* rollout = rollouts_.find(admitted.service);
+    if (rollout == nullptr) {
         return software_without_rollout(admitted);
     }
-    const std::string& target = rollout->second.order().target;
+    const std::string& target = rollout->order().target;
     auto present = directory_.software_of(admitted.service);
     const bool has_target = std::erase(present, target) > 0;
     const auto old_software = [&]() -> std::string {
         return present.empty() ? target : present[admitted.point % present.size()];
     };
-    const rollout_state state = rollout->second.state();
+    const rollout_state state = rollout->state();
     if (state == rollout_state::rolled_back) {
         return old_software();
     }
@@ -520,14 +181,15 @@
     if (state == rollout_state::complete) {
         return target;
     }
-    if (!history.software.empty() && history.software != "*") {
+    if (!history.software.empty() && history.software != any_software) {
         return history.software;
     }
-    const std::string* known = session_software(request.session, now);
-    if (known != nullptr && !rollout->second.shifted(now)) {
+    const std::string* known =
+        request.session.empty() ? nullptr : sessions_.find(hash64(request.session), now);
+    if (known != nullptr && !rollout->shifted(now)) {
         return *known == target ? target : old_software();
     }
-    return rollout->second.takes(admitted.point, in_touch(now), now) ? target : old_software();
+    return rollout->takes(admitted.point, in_touch(now), now) ? target : old_software();
 }
 
 duration proxy_core::expected_first_token(const version_id& version, const proxied_request& request,
@@ -644,11 +306,11 @@
     out.model = model;
     out.predicted = chosen->predicted;
     out.expected_first_token = chosen->expected_first_token;
-    const auto rollout = rollouts_.find(admitted.service);
-    out.on_trial = rollout != rollouts_.end() && rollout->second.order().target == out.software &&
-                   rollout->second.state() == rollout_state::running;
+    const service_rollout* rollout = rollouts_.find(admitted.service);
+    out.on_trial = rollout != nullptr && rollout->order().target == out.software &&
+                   rollout->state() == rollout_state::running;
     if (!request.session.empty()) {
-        remember_session(hash64(request.session), out.software, now);
+        sessions_.remember(hash64(request.session), out.software, now);
     }
     return out;
 }
@@ -721,77 +383,7 @@
 void proxy_core::note_answer(const admission& admitted, const placement& placed, bool failed,
                              bool slow)
 {
-    for (const std::string_view route :
-         {std::string_view{}, std::string_view{admitted.route->name}}) {
-        const version_id group = evidence_group(placed.version, route);
-        version_counts& counts = own_evidence_[group];
-        ++counts.answers;
-        counts.errors += failed ? 1 : 0;
-        counts.slow += slow ? 1 : 0;
-        evidence_.set(settings_.self, group, counts);
-    }
-}
-
-readiness proxy_core::ready(time_point now) const
-{
-    if (stopping_) {
-        return {false, "The VM is shutting down."};
-    }
-    if (!catalog_) {
-        return {false, "No configuration is known yet."};
-    }
-    if (configuration_age(now) > settings_.key_validity) {
-        return {false, "The configuration is not confirmed."};
-    }
-    for (const auto& route : catalog_->routes()) {
-        const bool served = std::ranges::any_of(route.services, [this](const auto& share) {
-            return !directory_.software_of(share.service).empty();
-        });
-        if (!served) {
-            return {false, "No replica of a service is known: " + route.services.front().service};
-        }
-    }
-    return {true, {}};
-}
-
-bool proxy_core::rollout_open() const
-{
-    return std::ranges::any_of(rollouts_, [](const auto& item) { return !item.second.ended(); });
-}
-
-std::vector<std::string> proxy_core::peer_addresses(time_point now) const
-{
-    std::vector<std::string> out;
-    std::vector<std::string> silent = known_addresses_;
-    for (const auto& [vm, item] : peers_) {
-        std::erase(silent, item.report.address);
-        if (now - item.heard_at <= settings_.peer_timeout) {
-            out.push_back(item.report.address);
-        }
-        else {
-            silent.push_back(item.report.address);
-        }
-    }
-    // One silent address a round finds peers that return at little cost.
-    if (!silent.empty()) {
-        out.push_back(silent[report_sequence_ % silent.size()]);
-    }
-    return out;
-}
-
-void proxy_core::add_peer_address(const std::string& address)
-{
-    if (address != settings_.report_address &&
-        std::ranges::find(known_addresses_, address) == known_addresses_.end()) {
-        known_addresses_.push_back(address);
-    }
-}
-
-std::size_t proxy_core::live_peers(time_point now) const
-{
-    return static_cast<std::size_t>(std::ranges::count_if(peers_, [&](const auto& item) {
-        return now - item.second.heard_at <= settings_.peer_timeout;
-    }));
+    rollouts_.note_answer(placed.version, admitted.route->name, failed, slow);
 }
 
 } // namespace wagtailhitch
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -5,9 +5,10 @@
 #include "billing/bill_buffer.hpp"
 #include "proxy/catalog.hpp"
 #include "proxy/model_ladder.hpp"
-#include "proxy/peer_report.hpp"
+#include "proxy/peer_table.hpp"
 #include "proxy/replica_directory.hpp"
-#include "proxy/service_rollout.hpp"
+#include "proxy/rollout_board.hpp"
+#include "proxy/session_memory.hpp"
 #include "retry/retry_policy.hpp"
 #include "routing/link_budget.hpp"
 #include "routing/prefix_index.hpp"
@@ -118,14 +119,6 @@
     std::uint64_t seed{1};
 };
 
-/// A final or running state to be written to the store, unless a final one is there.
-struct rollout_publication {
-    std::string service;
-    std::string target;
-    rollout_state state{rollout_state::running};
-    std::string reason;
-};
-
 struct readiness {
     bool ready{false};
     std::string reason; ///< why not
@@ -149,14 +142,9 @@
     [[nodiscard]] bool behind_peers(time_point now) const;
     void set_bounds(duration key_validity, duration certain_refusal);
     replica_directory& replicas() { return directory_; }
+    rollout_board& rollouts() { return rollouts_; }
     /// Another replica answered at the address: this one is gone until it starts again.
     void note_address_reused(const upstream_id& id, time_point now);
-    void order_rollout(const rollout_order& order, time_point now);
-    /// A state that the store holds.
-    void note_published(const std::string& service, const std::string& target, rollout_state state);
-    /// The order is at least this old.
-    void note_rollout_age(const std::string& service, const std::string& target, duration age,
-                          time_point now);
     /// False when the report is older than one taken before.
     bool take_report(const peer_report& report, time_point now);
     [[nodiscard]] peer_report make_report(time_point now);
@@ -207,32 +195,22 @@
     [[nodiscard]] readiness ready(time_point now) const;
     [[nodiscard]] const std::shared_ptr<const proxy_catalog>& catalog() const { return catalog_; }
     [[nodiscard]] duration configuration_age(time_point now) const { return now - confirmed_at_; }
-    [[nodiscard]] bool rollout_open() const;
-    [[nodiscard]] std::vector<std::string> peer_addresses(time_point now) const;
-    /// An address to try besides the peers that report.
-    void add_peer_address(const std::string& address);
-    [[nodiscard]] std::size_t live_peers(time_point now) const;
+    peer_table& peers() { return peers_; }
+    /// Where to send the report that was made last.
+    [[nodiscard]] std::vector<std::string> report_addresses(time_point now) const
+    {
+        return peers_.addresses(report_sequence_, now);
+    }
+    [[nodiscard]] std::size_t live_peers(time_point now) const { return peers_.live(now); }
     [[nodiscard]] std::mt19937_64& generator() { return generator_; }
 
 private:
-    struct peer {
-        peer_report report;
-        time_point heard_at;
-    };
-    struct session_entry {
-        std::string software;
-        time_point used_at;
-    };
-
     [[nodiscard]] error refusal(error_code code, step at, std::string detail,
                                 std::optional<duration> retry_after) const;
     void confirm_by_peer(const peer_report& report);
     [[nodiscard]] bool in_touch(time_point now) const;
     [[nodiscard]] bool is_explained(const std::string& service, const std::string& software) const;
     [[nodiscard]] std::string software_without_rollout(const admission& admitted) const;
-    [[nodiscard]] const std::string* session_software(const std::string& session,
-                                                      time_point now) const;
-    void remember_session(std::uint64_t session, const std::string& software, time_point now);
     [[nodiscard]] std::string choose_software(const admission& admitted,
                                               const proxied_request& request,
                                               const send_history& history, time_point now) const;
@@ -245,9 +223,6 @@
     void refresh_pool(time_point now);
     void refresh_loads(time_point now);
     void judge_rollouts(time_point now);
-    /// Whether the counts of a group of requests decide a roll-out now.
-    [[nodiscard]] bool is_judged(const version_id& group) const;
-    [[nodiscard]] bool publishes(time_point now, duration waited) const;
 
     proxy_settings settings_;
     metrics& counters_;
@@ -268,16 +243,11 @@
     bill_buffer bills_;
     std::uint64_t next_bill_{1};
     std::map<std::string, retry_budget> budgets_;
-    std::map<std::string, service_rollout> rollouts_;
-    std::map<std::string, time_point> publication_due_;
-    evidence_pool evidence_;
-    std::map<version_id, version_counts> own_evidence_;
-    std::map<vm_id, peer> peers_;
-    std::vector<std::string> known_addresses_;
-    std::unordered_map<std::uint64_t, session_entry> sessions_; ///< by hash of the session
+    rollout_board rollouts_;
+    peer_table peers_;
+    session_memory sessions_;
     std::uint64_t report_sequence_{0};
     std::array<time_point, 32> reports_made_at_{}; ///< by sequence, the newest ones
-    time_point sessions_swept_at_{};
 };
 
 } // namespace wagtailhitch
--- /dev/null
+++ b/src/proxy/proxy_core_beliefs.cpp
@@ -0,0 +1,206 @@
+#include "proxy/proxy_core.hpp"
+
+#include <algorithm>
+#include <array>
+
+// What a VM believes: its part of proxy_core apart from the decisions on single requests.
+
+namespace wagtailhitch {
+
+bool proxy_core::set_catalog(std::shared_ptr<const proxy_catalog> catalog)
+{
+    if (catalog_ && catalog->version() <= catalog_->version()) {
+        return false;
+    }
+    catalog_ = std::move(catalog);
+    return true;
+}
+
+void proxy_core::confirm(time_point asked_at)
+{
+    confirmed_at_ = std::max(confirmed_at_, asked_at);
+}
+
+void proxy_core::note_read(log_offset position, time_point asked_at)
+{
+    position_ = position;
+    read_at_ = asked_at;
+}
+
+// The order of a roll-out is written before its replicas start, so that a read which began after
+// the first of them was seen has found the order, if there is one.
+bool proxy_core::is_explained(const std::string& service, const std::string& software) const
+{
+    return directory_.first_seen(software_version(service, software)) <= read_at_;
+}
+
+bool proxy_core::has_unexplained_software() const
+{
+    return std::ranges::any_of(directory_.entries(), [this](const auto& item) {
+        const replica_announcement& replica = item.second.announcement;
+        return !is_explained(replica.service, replica.software);
+    });
+}
+
+bool proxy_core::behind_peers(time_point now) const
+{
+    return peers_.ahead_of(position_, now);
+}
+
+void proxy_core::set_bounds(duration key_validity, duration certain_refusal)
+{
+    settings_.key_validity = key_validity;
+    settings_.certain_refusal = certain_refusal;
+}
+
+void proxy_core::note_address_reused(const upstream_id& id, time_point now)
+{
+    counters_.count("replicas_replaced_total").add();
+    directory_.retire(id);
+    if (directory_.tick(now)) {
+        refresh_pool(now);
+    }
+}
+
+bool proxy_core::take_report(const peer_report& report, time_point now)
+{
+    if (!peers_.take(report, now)) {
+        return false;
+    }
+    confirm_by_peer(report);
+    rollouts_.take(report, now);
+    for (const auto& item : report.sessions) {
+        sessions_.remember(item.session, item.software, now - item.age);
+    }
+    return true;
+}
+
+// The peer's read began before the report was sent by the age it states; the report was sent after
+// the peer took the named report of this VM, which was made at a known time.
+void proxy_core::confirm_by_peer(const peer_report& report)
+{
+    if (!catalog_ || report.configuration != catalog_->version()) {
+        return;
+    }
+    for (const auto& heard : report.heard) {
+        const bool known = heard.sequence <= report_sequence_ &&
+                           report_sequence_ - heard.sequence < reports_made_at_.size();
+        if (heard.from == settings_.self && known) {
+            confirm(reports_made_at_[heard.sequence % reports_made_at_.size()] -
+                    report.confirmed_age);
+        }
+    }
+}
+
+peer_report proxy_core::make_report(time_point now)
+{
+    peer_report report;
+    report.from = settings_.self;
+    report.address = settings_.report_address;
+    report.sequence = ++report_sequence_;
+    reports_made_at_[report_sequence_ % reports_made_at_.size()] = now;
+    report.heard = peers_.heard(now);
+    report.configuration = catalog_ ? catalog_->version() : 0;
+    report.position = position_;
+    report.confirmed_age = configuration_age(now);
+    report.leaving = stopping_;
+    for (const auto& [id, entry] : directory_.entries()) {
+        const auto replica = pool_.find(id);
+        if (replica && pool_.load(*replica).in_flight > 0) {
+            report.loads.push_back({id, pool_.load(*replica).in_flight});
+        }
+    }
+    rollouts_.fill(report, now);
+    report.sessions = sessions_.exposed(settings_.rollout, now);
+    return report;
+}
+
+std::vector<rollout_publication> proxy_core::tick(time_point now)
+{
+    peers_.forget_gone(now);
+    sessions_.sweep(now);
+    if (directory_.tick(now)) {
+        refresh_pool(now);
+    }
+    refresh_loads(now);
+    judge_rollouts(now);
+    return rollouts_.publications(peers_.rank(now), now);
+}
+
+void proxy_core::judge_rollouts(time_point now)
+{
+    std::vector<std::string> routes;
+    if (catalog_) {
+        for (const auto& route : catalog_->routes()) {
+            routes.push_back(route.name);
+        }
+    }
+    const auto surroundings = [this](const std::string& service, const std::string& target) {
+        rollout_surroundings out;
+        out.old_software = directory_.software_of(service);
+        std::erase(out.old_software, target);
+        for (const auto& [id, entry] : directory_.entries()) {
+            const auto replica = pool_.find(id);
+            if (replica && entry.announcement.service == service &&
+                entry.announcement.software != target) {
+                const replica_load& load = pool_.load(*replica);
+                out.old_in_flight +=
+                    static_cast<std::uint32_t>(std::max<double>(load.reported, load.in_flight));
+            }
+        }
+        return out;
+    };
+    const std::size_t halted = rollouts_.judge(routes, surroundings, now);
+    counters_.count("rollouts_halted_total").add(halted);
+}
+
+void proxy_core::refresh_pool(time_point now)
+{
+    auto upstreams = directory_.upstreams();
+    for (auto& [id, spec] : upstreams) {
+        spec.versions.push_back(
+            software_version(directory_.find(id)->announcement.service, any_software));
+    }
+    pool_.configure(upstreams, now);
+    for (const auto& [id, spec] : upstreams) {
+        pool_.set_health(id, replica_health::usable, directory_.find(id)->announcement.started_ms,
+                         now);
+    }
+}
+
+void proxy_core::refresh_loads(time_point now)
+{
+    auto sums = peers_.loads(now);
+    for (const auto& [id, entry] : directory_.entries()) {
+        const auto replica = pool_.find(id);
+        if (replica) {
+            const std::uint32_t own = pool_.load(*replica).in_flight;
+            pool_.report_load(id, {.running = own + sums[id], .waiting = 0, .age = duration{0}},
+                              now);
+        }
+    }
+}
+
+readiness proxy_core::ready(time_point now) const
+{
+    if (stopping_) {
+        return {false, "The VM is shutting down."};
+    }
+    if (!catalog_) {
+        return {false, "No configuration is known yet."};
+    }
+    if (configuration_age(now) > settings_.key_validity) {
+        return {false, "The configuration is not confirmed."};
+    }
+    for (const auto& route : catalog_->routes()) {
+        const bool served = std::ranges::any_of(route.services, [this](const auto& share) {
+            return !directory_.software_of(share.service).empty();
+        });
+        if (!served) {
+            return {false, "No replica of a service is known: " + route.services.front().service};
+        }
+    }
+    return {true, {}};
+}
+
+} // namespace wagtailhitch
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -36,8 +36,8 @@
         for (const char* domain : {"a", "b", "c"}) {
             at_.announce(make_replica(std::string{"new-"} + domain, "engine", domain, "v2"));
         }
-        at_.core.order_rollout({"engine", "v2", 20s}, at_.clock.now());
-        at_.core.note_published("engine", "v2", rollout_state::running);
+        at_.core.rollouts().order({"engine", "v2", 20s}, at_.clock.now());
+        at_.core.rollouts().note_published("engine", "v2", rollout_state::running);
         at_.core.tick(at_.clock.now());
     }
     /// Keeps the configuration confirmed while time passes.
@@ -187,8 +187,8 @@
     for (const char* domain : {"a", "b", "c"}) {
         other.announce(make_replica(std::string{"new-"} + domain, "engine", domain, "v2"));
     }
-    other.core.order_rollout({"engine", "v2", 20s}, other.clock.now());
-    other.core.note_published("engine", "v2", rollout_state::running);
+    other.core.rollouts().order({"engine", "v2", 20s}, other.clock.now());
+    other.core.rollouts().note_published("engine", "v2", rollout_state::running);
     other.core.take_report(at_.core.make_report(at_.clock.now()), other.clock.now());
     for (const auto& session : sessions) {
         auto request = other.request("/report/1", session);
--- a/src/proxy/replica_directory.hpp
+++ b/src/proxy/replica_directory.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // The replicas that announce themselves, folded from their announcements.
@@ -67,6 +68,9 @@
     double lapse_share{0.5}; ///< of the replicas, withdrawn at once, that count as such an outage
 };
 
+/// Stands for all software versions of a service, while none is being rolled out.
+inline constexpr std::string_view any_software = "*";
+
 /// The version that stands for a service's software in pools and roll-outs.
 version_id software_version(std::string_view service, std::string_view software);
 
--- /dev/null
+++ b/src/proxy/rollout_board.cpp
@@ -0,0 +1,178 @@
+#include "proxy/rollout_board.hpp"
+
+#include "proxy/replica_directory.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace wagtailhitch {
+
+namespace {
+
+/// A publisher that holds back lets the one before it act first.
+constexpr duration publisher_turn = 700ms;
+/// A publication that has not shown up in the store is repeated.
+constexpr duration publication_repeat = 1s;
+/// The group of all requests to a service.
+constexpr std::string_view all_routes;
+
+/// Evidence is judged for a service as a whole and for each route, so that a version that is bad
+/// for one kind of request only is found as well.
+version_id evidence_group(const version_id& version, std::string_view route)
+{
+    return version_id{version.value + "#" + std::string{route}};
+}
+
+} // namespace
+
+rollout_board::rollout_board(process_id self, service_rollout_settings settings)
+    : self_{std::move(self)}, settings_{settings}
+{
+}
+
+void rollout_board::order(const rollout_order& order, time_point now)
+{
+    const auto it = rollouts_.find(order.service);
+    if (it != rollouts_.end() && it->second.order() == order) {
+        return;
+    }
+    rollouts_.erase(order.service);
+    rollouts_.emplace(order.service, service_rollout{order, now, settings_});
+    publication_due_.erase(order.service);
+}
+
+service_rollout* rollout_board::find(const std::string& service, const std::string& target)
+{
+    const auto it = rollouts_.find(service);
+    const bool found = it != rollouts_.end() && it->second.order().target == target;
+    return found ? &it->second : nullptr;
+}
+
+const service_rollout* rollout_board::find(const std::string& service) const
+{
+    const auto it = rollouts_.find(service);
+    return it == rollouts_.end() ? nullptr : &it->second;
+}
+
+void rollout_board::note_published(const std::string& service, const std::string& target,
+                                   rollout_state state)
+{
+    if (auto* rollout = find(service, target)) {
+        rollout->note_published(state);
+    }
+}
+
+void rollout_board::note_age(const std::string& service, const std::string& target, duration age,
+                             time_point now)
+{
+    if (auto* rollout = find(service, target)) {
+        rollout->note_age(std::clamp(age, duration{0}, rollout->order().period), now);
+    }
+}
+
+void rollout_board::take(const peer_report& report, time_point now)
+{
+    for (const auto& item : report.evidence) {
+        evidence_.set(report.from, item.group, item.counts);
+    }
+    for (const auto& item : report.rollouts) {
+        const auto it = rollouts_.find(item.order.service);
+        if (it == rollouts_.end() || it->second.order() != item.order) {
+            continue;
+        }
+        it->second.note_age(item.age, now);
+        if (item.published) {
+            it->second.note_published(*item.published);
+        }
+        it->second.note_decided(item.state, item.reason);
+    }
+}
+
+void rollout_board::fill(peer_report& report, time_point now) const
+{
+    for (const auto& [service, rollout] : rollouts_) {
+        report.rollouts.push_back({rollout.order(), rollout.age(now), rollout.state(),
+                                   rollout.published(), rollout.reason()});
+    }
+    for (const auto& [group, counts] : own_evidence_) {
+        if (is_judged(group)) {
+            report.evidence.push_back({group, counts});
+        }
+    }
+}
+
+// Counts of other groups decide nothing and would only fill the reports.
+bool rollout_board::is_judged(const version_id& group) const
+{
+    return std::ranges::any_of(rollouts_, [&group](const auto& item) {
+        return item.second.state() == rollout_state::running &&
+               group.value.starts_with(item.first + "@");
+    });
+}
+
+void rollout_board::note_answer(const version_id& version, std::string_view route, bool failed,
+                                bool slow)
+{
+    for (const std::string_view part : {all_routes, route}) {
+        const version_id group = evidence_group(version, part);
+        version_counts& counts = own_evidence_[group];
+        ++counts.answers;
+        counts.errors += failed ? 1 : 0;
+        counts.slow += slow ? 1 : 0;
+        evidence_.set(self_, group, counts);
+    }
+}
+
+bool rollout_board::judge_groups(const std::string& service, service_rollout& rollout,
+                                 const std::vector<std::string>& routes,
+                                 const rollout_surroundings& surroundings)
+{
+    const version_id fresh = software_version(service, rollout.order().target);
+    const auto halts = [&](std::string_view route) {
+        const version_counts counts = evidence_.total(evidence_group(fresh, route));
+        version_counts baseline;
+        for (const auto& software : surroundings.old_software) {
+            baseline += evidence_.total(evidence_group(software_version(service, software), route));
+        }
+        return counts.answers > 0 && rollout.judge(counts, baseline);
+    };
+    return halts(all_routes) || std::ranges::any_of(routes, halts);
+}
+
+std::size_t rollout_board::judge(const std::vector<std::string>& routes,
+                                 const surroundings_of& surroundings, time_point now)
+{
+    std::size_t halted = 0;
+    for (auto& [service, rollout] : rollouts_) {
+        if (rollout.state() != rollout_state::running) {
+            continue;
+        }
+        const std::string& target = rollout.order().target;
+        const rollout_surroundings around = surroundings(service, target);
+        halted += judge_groups(service, rollout, routes, around) ? 1 : 0;
+        const auto answers =
+            evidence_.total(evidence_group(software_version(service, target), all_routes)).answers;
+        if (rollout.due(answers, around.old_in_flight, now) != rollout_state::running) {
+            publication_due_.erase(service);
+        }
+    }
+    return halted;
+}
+
+std::vector<rollout_publication> rollout_board::publications(std::size_t rank, time_point now)
+{
+    std::vector<rollout_publication> out;
+    for (const auto& [service, rollout] : rollouts_) {
+        if (rollout.published() == rollout.state()) {
+            continue;
+        }
+        const auto [due, added] = publication_due_.try_emplace(service, now);
+        if (now - due->second >= publisher_turn * static_cast<int>(rank)) {
+            due->second = now + publication_repeat;
+            out.push_back({service, rollout.order().target, rollout.state(), rollout.reason()});
+        }
+    }
+    return out;
+}
+
+} // namespace wagtailhitch
