Share the slack in repeats among the VMs that are known and bound the datagrams of large deployments

Cause: the slack was divided by 11 VMs, those of today with their spares, so that a deployment of 90 VMs could repeat 8 times its slack; reports every 200 ms to 86 peers are 430 datagrams a second each way on an eighth of a core.

--- a/src/proxy/peer_table.cpp
+++ b/src/proxy/peer_table.cpp
@@ -10,6 +10,13 @@
 /// Reports of a gone peer are kept for this many timeouts, so that its address is tried again.
 constexpr int timeouts_until_forgotten = 4;
 
+/// Loads must be newer than the work of a typical request.
+constexpr duration shortest_report_interval = 200ms;
+/// Datagrams a second to and from all peers together.
+constexpr int datagrams_per_second = 50;
+/// A peer is gone when it has missed this many reports.
+constexpr int missed_reports = 4;
+
 } // namespace
 
 peer_table::peer_table(process_id self, std::string address, duration timeout)
@@ -19,7 +26,29 @@
 
 bool peer_table::is_live(const peer& item, time_point now) const
 {
-    return now - item.heard_at <= timeout_;
+    return now - item.heard_at <= std::max(timeout_, interval_for(peers_.size()) * missed_reports);
+}
+
+duration peer_table::interval_for(std::size_t peers)
+{
+    const duration spread = duration{1s} * static_cast<int>(peers) / datagrams_per_second;
+    return std::max(shortest_report_interval, spread);
+}
+
+duration peer_table::report_interval(time_point now) const
+{
+    return interval_for(live(now));
+}
+
+std::size_t peer_table::known() const
+{
+    std::size_t out = peers_.size();
+    for (const auto& address : known_addresses_) {
+        const bool reports = std::ranges::any_of(
+            peers_, [&](const auto& item) { return item.second.report.address == address; });
+        out += reports ? 0 : 1;
+    }
+    return out;
 }
 
 bool peer_table::take(const peer_report& report, time_point now)
--- a/src/proxy/peer_table.hpp
+++ b/src/proxy/peer_table.hpp
@@ -29,6 +29,10 @@
     void forget_gone(time_point now);
 
     [[nodiscard]] std::size_t live(time_point now) const;
+    /// Other VMs that have been heard of, whether they live or not.
+    [[nodiscard]] std::size_t known() const;
+    /// Between two reports of a VM, so that the datagrams it sends and receives stay bounded.
+    [[nodiscard]] duration report_interval(time_point now) const;
     /// Where to send the report of this round: all live peers and one silent address.
     [[nodiscard]] std::vector<std::string> addresses(std::uint64_t round, time_point now) const;
     /// The reports that live peers are known by.
@@ -46,6 +50,7 @@
         time_point heard_at;
     };
     [[nodiscard]] bool is_live(const peer& item, time_point now) const;
+    [[nodiscard]] static duration interval_for(std::size_t peers);
 
     process_id self_;
     std::string address_;
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -116,7 +116,15 @@
 
 retry_budget& proxy_core::budget_of(const std::string& service, time_point now)
 {
-    return budgets_.try_emplace(service, settings_.retry, now).first->second;
+    retry_budget& budget = budgets_.try_emplace(service, settings_.retry, now).first->second;
+    budget.set_capacity(repeat_capacity());
+    return budget;
+}
+
+double proxy_core::repeat_capacity() const
+{
+    const double vms = (static_cast<double>(peers_.known()) + 1) * settings_.spare_vms;
+    return settings_.repeat_slack / std::max(settings_.fewest_vms, vms);
 }
 
 void proxy_core::count_request(const admission& admitted, time_point now)
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -106,6 +106,11 @@
     /// A peer that has not reported for so long is taken as gone.
     duration peer_timeout{2s};
     double link_bytes_per_second{0}; ///< this VM's part of the link between regions
+    /// Repeats beyond the share of requests that all VMs together may make within the budget's
+    /// window, and the fewest VMs that they are divided among: those of today and their spares.
+    double repeat_slack{50};
+    double fewest_vms{11};
+    double spare_vms{1.25}; ///< VMs that may join, relative to those that are known
     chooser_settings chooser{};
     pool_settings pool{};
     directory_settings directory{};
@@ -220,6 +225,8 @@
     [[nodiscard]] std::optional<replica_index> home_of(const version_id& version,
                                                        std::uint64_t prefix) const;
     retry_budget& budget_of(const std::string& service, time_point now);
+    /// This VM's part of the slack in the repeats of all VMs.
+    [[nodiscard]] double repeat_capacity() const;
     void refresh_pool(time_point now);
     void refresh_loads(time_point now);
     void judge_rollouts(time_point now);
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -258,6 +258,23 @@
     EXPECT_EQ(at_.core.configuration_age(at_.clock.now()), 2s);
 }
 
+/// The slack in repeats belongs to all VMs together, however many there are.
+TEST_F(proxy_core_test, repeats_of_many_vms_stay_within_their_common_slack)
+{
+    constexpr int vms = 90;
+    for (int i = 0; i < vms - 1; ++i) {
+        at_.core.peers().add_address("10.0.0." + std::to_string(i) + ":1");
+    }
+    auto request = at_.request("/read/1");
+    const auto admitted = at_.core.admit(request, at_.clock.now());
+    double repeats = 0;
+    while (at_.core.repeats_left(*admitted, at_.clock.now())) {
+        at_.core.spend_repeat(*admitted, at_.clock.now());
+        ++repeats;
+    }
+    EXPECT_LE(repeats * vms, testing_proxy::make_settings().repeat_slack);
+}
+
 TEST_F(proxy_core_test, reordered_report_is_ignored)
 {
     proxy_deployment peer{"vm-2"};
--- a/src/retry/retry_policy.hpp
+++ b/src/retry/retry_policy.hpp
@@ -89,6 +89,8 @@
     void count_request(time_point now);
     [[nodiscard]] bool available(time_point now) const;
     void spend(time_point now);
+    /// Retries beyond the share of requests, from now on.
+    void set_capacity(double capacity) { capacity_ = capacity; }
 
 private:
     /// Counts within one part of the sliding window.
