--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -13,6 +13,11 @@
 /// Requests above this multiple of a replica's slots wait longer there than a caller's retry takes.
 constexpr double overload = 2.0;
 constexpr duration shortest_retry_after = 100ms;
+/// Part of the latency target, as its divisor, after which a caller that met overload may return.
+constexpr int overload_retry_parts = 4;
+/// Part of the latency target, as its divisor, that may pass until the first token before replicas
+/// of other regions are considered.
+constexpr int remote_target_parts = 3;
 /// Of a plain answer or a stream of a few dozen events, with their headers.
 constexpr double expected_answer_bytes = 4000;
 /// What a prompt token costs relative to a generated one.
@@ -180,10 +185,7 @@
         return present.empty() ? target : present[admitted.point % present.size()];
     };
     const rollout_state state = rollout->state();
-    if (state == rollout_state::rolled_back) {
-        return old_software();
-    }
-    if (!has_target) {
+    if (state == rollout_state::rolled_back || !has_target) {
         return old_software();
     }
     if (state == rollout_state::complete) {
@@ -256,23 +258,27 @@
     return best;
 }
 
-expected<placement> proxy_core::place(const admission& admitted, const proxied_request& request,
-                                      const send_history& history, time_point now)
+std::optional<std::size_t> proxy_core::choose_model(const admission& admitted,
+                                                    const proxied_request& request,
+                                                    const send_history& history,
+                                                    const version_id& version, time_point now) const
 {
-    if (directory_.tick(now)) {
-        refresh_pool(now);
-    }
-    const std::string software = choose_software(admitted, request, history, now);
-    const version_id version = software_version(admitted.service, software);
     const std::size_t ladder = admitted.route->models.size();
-    std::optional<std::size_t> model = history.model;
-    if (ladder > 0 && !model) {
-        model = models_.first(
-            ladder,
-            [&](std::size_t it) { return expected_first_token(version, request, ladder, it, now); },
-            admitted.route->target_latency);
+    if (ladder == 0 || history.model) {
+        return history.model;
     }
-    const auto chain = chain_of(request, model.value_or(0));
+    return models_.first(
+        ladder,
+        [&](std::size_t it) { return expected_first_token(version, request, ladder, it, now); },
+        admitted.route->target_latency);
+}
+
+expected<choice> proxy_core::choose_replica(const admission& admitted,
+                                            const proxied_request& request,
+                                            const send_history& history, const version_id& version,
+                                            std::optional<std::size_t> model,
+                                            const std::vector<std::uint64_t>& chain, time_point now)
+{
     const auto sizes = sizes_of(request);
     choice_request wanted;
     wanted.version = &version;
@@ -282,14 +288,27 @@
     wanted.prompt_tokens = request.prompt_tokens;
     wanted.request_bytes = static_cast<double>(request.body_bytes);
     wanted.answer_bytes = expected_answer_bytes;
-    wanted.first_token_target = admitted.route->target_latency / 3;
-    wanted.prefill_pace = model ? models_.pace(ladder, *model) : 1;
+    wanted.first_token_target = admitted.route->target_latency / remote_target_parts;
+    wanted.prefill_pace = model ? models_.pace(admitted.route->models.size(), *model) : 1;
     wanted.cost_per_1k_input = settings_.prefill_cost;
     if (!chain.empty()) {
         wanted.prefix_home = home_of(version, chain.back());
         wanted.home_blocks = static_cast<std::uint32_t>(chain.size());
     }
-    const auto chosen = chooser_.choose(pool_, prefixes_, link_, wanted, now, generator_);
+    return chooser_.choose(pool_, prefixes_, link_, wanted, now, generator_);
+}
+
+expected<placement> proxy_core::place(const admission& admitted, const proxied_request& request,
+                                      const send_history& history, time_point now)
+{
+    if (directory_.tick(now)) {
+        refresh_pool(now);
+    }
+    const std::string software = choose_software(admitted, request, history, now);
+    const version_id version = software_version(admitted.service, software);
+    const auto model = choose_model(admitted, request, history, version, now);
+    const auto chain = chain_of(request, model.value_or(0));
+    const auto chosen = choose_replica(admitted, request, history, version, model, chain, now);
     if (!chosen) {
         return tl::unexpected(chosen.error());
     }
@@ -298,7 +317,7 @@
     if (estimate_load(load, chooser_.settings()) > overload * load.slots) {
         return tl::unexpected(refusal(error_code::queue_full, step::admit,
                                       "Every replica of the service is at its limit.",
-                                      admitted.route->target_latency / 4));
+                                      admitted.route->target_latency / overload_retry_parts));
     }
     link_.spend(chosen->link_bytes, now);
     if (!chain.empty()) {
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -219,6 +219,14 @@
     [[nodiscard]] std::string choose_software(const admission& admitted,
                                               const proxied_request& request,
                                               const send_history& history, time_point now) const;
+    [[nodiscard]] std::optional<std::size_t>
+    choose_model(const admission& admitted, const proxied_request& request,
+                 const send_history& history, const version_id& version, time_point now) const;
+    /// `chain`: hashes of the prompt's shared parts under the model.
+    expected<choice> choose_replica(const admission& admitted, const proxied_request& request,
+                                    const send_history& history, const version_id& version,
+                                    std::optional<std::size_t> model,
+                                    const std::vector<std::uint64_t>& chain, time_point now);
     [[nodiscard]] duration expected_first_token(const version_id& version,
                                                 const proxied_request& request, std::size_t ladder,
                                                 std::size_t model, time_point now) const;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -154,10 +154,8 @@
     const bool again = admitted_->route->repeatable() &&
                        history_.sends < admitted_->route->maximum_sends &&
                        core_.repeats_left(*admitted_, now);
-    if (!again || answer_begun_) {
-        if (answer_begun_) {
-            return on_failure(failure, now);
-        }
+    // Nobody is left to ask: the replica's own failure is the best answer.
+    if (!again && !answer_begun_) {
         return relay_step{};
     }
     return on_failure(failure, now);
