--- a/tests/process/platform_node_test.cpp
+++ b/tests/process/platform_node_test.cpp
@@ -147,7 +147,7 @@
         });
         callers_ = free_port();
         ready_ = free_port();
-        json settings = {
+        settings_ = {
             {"nodeName", "front-a-1"},
             {"ip", "127.0.0.1"},
             {"zone", "a"},
@@ -161,7 +161,7 @@
             {"bounds", {{"revokeMs", 2000}, {"graceS", 8}}},
             {"platform", {{"address", store_->address()}}},
         };
-        std::ofstream{files_.path("boot.json")} << settings.dump();
+        write_settings();
         start();
     }
 
@@ -176,6 +176,8 @@
         thread_.join();
     }
 
+    void write_settings() const { std::ofstream{files_.path("boot.json")} << settings_.dump(); }
+
     void start()
     {
         vm_ = std::make_unique<child_process>(
@@ -240,6 +242,7 @@
     }
 
     scratch_directory files_;
+    json settings_;
     asio::io_context io_;
     std::optional<asio::executor_work_guard<asio::io_context::executor_type>> work_{
         asio::make_work_guard(io_)};
@@ -298,6 +301,22 @@
     on_io([this] { EXPECT_FALSE(store_->value("keyed.wagtailhitch-vms", "front-a-1").empty()); });
 }
 
+TEST_F(platform_node_test, settings_file_that_changes_is_read_again_with_and_without_a_signal)
+{
+    const auto reloads = [this](const std::string& cause) {
+        const std::string text = http_call(ready_, "GET", "/metrics").text;
+        return text.find("wagtailhitch_reloads_total{cause=\"" + cause + "\"} 1") !=
+               std::string::npos;
+    };
+    vm_->send_signal(SIGHUP);
+    EXPECT_TRUE(wait_until([&] { return reloads("signal"); }));
+    std::this_thread::sleep_for(milliseconds{20});
+    settings_["bounds"]["revokeMs"] = 3000;
+    write_settings();
+    EXPECT_TRUE(wait_until([&] { return reloads("file"); }));
+    EXPECT_EQ(publish("key-1").status, 200U);
+}
+
 TEST_F(platform_node_test, killed_vm_serves_again_after_its_restart)
 {
     EXPECT_EQ(publish("key-1").status, 200U);
