Never join another answer to a stream that has begun

Found by reading: a resumed attempt that answered with a status below 500 other than 200 was relayed as a whole answer into the stream.

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -145,7 +145,8 @@
                           now);
     }
     run_ = run_state::ran;
-    failing_ = head.status >= 500;
+    // A stream can only go on with events.
+    failing_ = head.status >= 500 || (answer_begun_ && head.status != 200);
     if (!failing_) {
         return accept_or_escalate(head, now);
     }
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -191,6 +191,17 @@
     EXPECT_TRUE(std::holds_alternative<break_step>(step_));
 }
 
+TEST_F(request_flow_test, refusal_of_a_resumed_stream_is_never_joined_to_the_events_sent)
+{
+    start("/report/1");
+    step_ = flow_->on_head(answered, now());
+    flow_->on_event(1, now());
+    step_ = flow_->on_failure({error_code::stream_broken, run_state::ran, "reset"}, now());
+    ASSERT_TRUE(sends());
+    step_ = flow_->on_head(signed_head(409), now());
+    EXPECT_FALSE(relays()) << "The caller has part of another answer already.";
+}
+
 TEST_F(request_flow_test, doubtful_answer_is_asked_again_of_a_larger_model)
 {
     start("/report/1");
