--- a/src/net/caller_text.cpp
+++ b/src/net/caller_text.cpp
@@ -1,5 +1,6 @@
 #include "net/caller_text.hpp"
 
+#include <boost/beast/http/status.hpp>
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -58,48 +59,6 @@
     {error_code::authority_lost, 503},
 }};
 
-std::string_view phrase_of(unsigned status)
-{
-    switch (status) {
-    case 200:
-        return "OK";
-    case 400:
-        return "Bad Request";
-    case 401:
-        return "Unauthorized";
-    case 403:
-        return "Forbidden";
-    case 404:
-        return "Not Found";
-    case 408:
-        return "Request Timeout";
-    case 409:
-        return "Conflict";
-    case 413:
-        return "Content Too Large";
-    case 422:
-        return "Unprocessable Content";
-    case 429:
-        return "Too Many Requests";
-    case 500:
-        return "Internal Server Error";
-    case 502:
-        return "Bad Gateway";
-    case 503:
-        return "Service Unavailable";
-    case 504:
-        return "Gateway Timeout";
-    default:
-        return "Answer";
-    }
-}
-
-void append_status_line(std::string& out, unsigned status)
-{
-    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
-    out.append(phrase_of(status)).append("\r\n");
-}
-
 void append_header(std::string& out, std::string_view name, std::string_view value)
 {
     if (value.find_first_of("\r\n") != std::string_view::npos) {
@@ -118,6 +77,14 @@
 
 } // namespace
 
+void append_status_line(std::string& out, unsigned status)
+{
+    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ");
+    const auto phrase =
+        boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(status));
+    out.append(phrase.data(), phrase.size()).append("\r\n");
+}
+
 unsigned status_of(error_code code)
 {
     for (const auto& [listed, status] : statuses) {
--- a/src/net/caller_text.hpp
+++ b/src/net/caller_text.hpp
@@ -56,4 +56,7 @@
 std::map<std::string, std::string> answer_headers(const answer_start& start);
 std::string cost_text(double cost);
 
+/// The status line with its line break.
+void append_status_line(std::string& out, unsigned status);
+
 } // namespace wagtailhitch::detail
--- a/src/net/proxy/proxied_connection.cpp
+++ b/src/net/proxy/proxied_connection.cpp
@@ -1,9 +1,10 @@
 #include "net/proxy/proxied_connection.hpp"
 
+#include "net/caller_text.hpp"
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
-#include <boost/beast/http/status.hpp>
 
 #include <utility>
 
@@ -230,9 +231,9 @@
     const std::string path{to_std(message.target())};
     const auto page = owner_.settings.page(to_std(message.method_string()), path)
                           .value_or(served_page{404, "text/plain", "There is no such page.\n"});
-    std::string out = "HTTP/1.1 " + std::to_string(page.status) + " ";
-    out += to_std(http::obsolete_reason(static_cast<http::status>(page.status)));
-    out += "\r\nContent-Type: " + page.content_type;
+    std::string out;
+    append_status_line(out, page.status);
+    out += "Content-Type: " + page.content_type;
     out += "\r\nContent-Length: " + std::to_string(page.body.size());
     out += keep_alive_ ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n";
     out += page.body;
@@ -246,9 +247,9 @@
         .count("proxied_requests_rejected_total", {{"status", std::to_string(status)}})
         .add();
     owner_.context.log.write("request_rejected", {{"status", status}, {"detail", why}});
-    std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
-    out += to_std(http::obsolete_reason(static_cast<http::status>(status)));
-    out += "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    std::string out;
+    append_status_line(out, status);
+    out += "Content-Length: 0\r\nConnection: close\r\n\r\n";
     answering_ = true;
     close_after_write_ = true;
     write(out);
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -1,8 +1,9 @@
 #include "net/proxy/proxied_exchange.hpp"
 
+#include "net/caller_text.hpp"
+
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
-#include <boost/beast/http/status.hpp>
 
 #include <array>
 #include <cstdio>
@@ -40,13 +41,6 @@
     return {text.data(), text.size()};
 }
 
-std::string status_line(unsigned status)
-{
-    std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
-    out += to_std(http::obsolete_reason(static_cast<http::status>(status)));
-    return out + "\r\n";
-}
-
 void append_header(std::string& out, std::string_view name, std::string_view value)
 {
     out.append(name).append(": ").append(value).append("\r\n");
@@ -256,7 +250,8 @@
 {
     head_written_ = true;
     first_byte_at_ = context_.clock();
-    std::string out = status_line(answer_.status);
+    std::string out;
+    detail::append_status_line(out, answer_.status);
     for (const auto& [name, value] : answer_.headers) {
         if (!concerns_connection(name)) {
             append_header(out, name, value);
@@ -341,7 +336,8 @@
 {
     cancel_call();
     std::string body = "{\"error\":\"" + std::string{name_of(step.reason.code)} + "\"}\n";
-    std::string out = status_line(step.status);
+    std::string out;
+    detail::append_status_line(out, step.status);
     detail::header_list headers;
     context_.dialect.write_refusal(flow_.request(), step.reason, headers);
     for (const auto& [name, value] : headers) {
