--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -121,9 +121,11 @@
 
 retry_budget& proxy_core::budget_of(const std::string& service, time_point now)
 {
-    retry_budget& budget = budgets_.try_emplace(service, settings_.retry, now).first->second;
-    budget.set_capacity(repeat_capacity());
-    return budget;
+    const auto [it, added] = budgets_.try_emplace(service, settings_.retry, now);
+    if (added) {
+        it->second.set_capacity(repeat_capacity());
+    }
+    return it->second;
 }
 
 double proxy_core::repeat_capacity() const
--- a/src/proxy/proxy_core_beliefs.cpp
+++ b/src/proxy/proxy_core_beliefs.cpp
@@ -118,6 +118,9 @@
 std::vector<rollout_publication> proxy_core::tick(time_point now)
 {
     peers_.forget_gone(now);
+    for (auto& [service, budget] : budgets_) {
+        budget.set_capacity(repeat_capacity());
+    }
     sessions_.sweep(now);
     if (directory_.tick(now)) {
         refresh_pool(now);
