Report within failure domains, send sums between them, and read the store once a domain

Cause: on the grown deployments every VM reported to all 77 others and read the store itself. Ruled out: the pause between reads (2 s, below the bound of 4 s), data of requests (0.02 GB remain).

Change: VMs of a failure domain report to each other; the first live one by name, the speaker, sends a digest with the domain's sums to the other domains, and whoever receives one passes it on to its members. The speaker reads the streams of operators and replicas and passes changes on; others read when confirmations stay away (reading_schedule). A confirmation of a peer now covers the replicas' records too. Sessions are reported by the VM or domain that served them only.

--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -11,7 +11,7 @@
 constexpr std::string_view report_name = "peer report";
 
 /// Fields of a report of this layout; later layouts only append fields.
-constexpr std::uint64_t layout = 1;
+constexpr std::uint64_t layout = 2;
 
 json encode_loads(const std::vector<reported_load>& loads)
 {
@@ -156,12 +156,26 @@
 
 std::string encode_peer_report(const peer_report& report)
 {
-    return encode_msgpack(
-        json::array({layout, report.from.vm.value, report.from.run, report.address, report.sequence,
-                     report.configuration, report.position, to_milliseconds(report.confirmed_age),
-                     report.leaving, encode_heard(report.heard), encode_loads(report.loads),
-                     encode_rollouts(report.rollouts), encode_evidence(report.evidence),
-                     encode_sessions(report.sessions)}));
+    return encode_msgpack(json::array({layout,
+                                       name_of(report.scope),
+                                       report.from.vm.value,
+                                       report.from.run,
+                                       report.domain.value,
+                                       report.members,
+                                       report.relayed,
+                                       report.address,
+                                       report.sequence,
+                                       report.configuration,
+                                       report.position,
+                                       to_milliseconds(report.confirmed_age),
+                                       report.replica_position,
+                                       to_milliseconds(report.replica_age),
+                                       report.leaving,
+                                       encode_heard(report.heard),
+                                       encode_loads(report.loads),
+                                       encode_rollouts(report.rollouts),
+                                       encode_evidence(report.evidence),
+                                       encode_sessions(report.sessions)}));
 }
 
 expected<peer_report> decode_peer_report(std::string_view data)
@@ -173,22 +187,29 @@
     field_reader in{*value};
     peer_report report;
     const bool known = in.number() == layout;
+    const auto scope = parse_name<report_scope>(in.text());
     report.from.vm = vm_id{in.text()};
     report.from.run = in.number();
+    report.domain = failure_domain_id{in.text()};
+    report.members = static_cast<std::uint32_t>(in.number());
+    report.relayed = in.flag();
     report.address = in.text();
     report.sequence = in.number();
     report.configuration = in.number();
     report.position = in.number();
     report.confirmed_age = milliseconds(in.integer());
+    report.replica_position = in.number();
+    report.replica_age = milliseconds(in.integer());
     report.leaving = in.flag();
     const bool whole = decode_heard(in.array(), report.heard) &&
                        decode_loads(in.array(), report.loads) &&
                        decode_rollouts(in.array(), report.rollouts) &&
                        decode_evidence(in.array(), report.evidence) &&
                        decode_sessions(in.array(), report.sessions);
-    if (!known || !whole || !in.complete()) {
+    if (!known || !scope || !whole || !in.complete()) {
         return tl::unexpected(malformed(step::peer, report_name));
     }
+    report.scope = *scope;
     return report;
 }
 
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -12,8 +12,9 @@
 #include <string_view>
 #include <vector>
 
-// What one VM tells the others several times a second. A report is complete by itself, so that lost
-// and reordered ones do no harm.
+// What VMs tell each other several times a second. A VM reports its own state to the VMs of its
+// failure domain; one VM of each domain sends the sums of its domain, a digest, to the other
+// domains. A report is complete by itself, so that lost and reordered ones do no harm.
 //
 //   std::string data = encode_peer_report(report);
 //   expected<peer_report> report = decode_peer_report(data);
@@ -22,7 +23,7 @@
 
 struct reported_load {
     upstream_id upstream;
-    std::uint32_t in_flight{0}; ///< requests of the reporting VM
+    std::uint32_t in_flight{0}; ///< requests of the reporting VM, or of its domain in a digest
 
     friend bool operator==(const reported_load&, const reported_load&) = default;
 };
@@ -64,13 +65,28 @@
     friend bool operator==(const reported_session&, const reported_session&) = default;
 };
 
+enum class report_scope { vm, domain };
+
+template<>
+inline constexpr auto enum_names<report_scope> = name_table<report_scope, 2>{{
+    {report_scope::vm, "vm"},
+    {report_scope::domain, "domain"},
+}};
+
 struct peer_report {
+    report_scope scope{report_scope::vm};
     process_id from;
-    std::string address; ///< "IP:port" at which the VM takes reports
+    failure_domain_id domain; ///< of the sender
+    std::uint32_t members{1}; ///< VMs that a digest speaks for, whether they live or not
+    bool relayed{false};      ///< passed on by a VM of the receiver's domain
+    std::string address;      ///< "IP:port" at which the VM takes reports
     std::uint64_t sequence{0};
     revision configuration{0};
     log_offset position{0};   ///< up to which the operators' records have been read
     duration confirmed_age{}; ///< since the start of the last read that confirmed it
+    /// Up to which the replicas' records have been read, as far as they changed anything.
+    log_offset replica_position{0};
+    duration replica_age{}; ///< since the start of the last read that confirmed it
     bool leaving{false};
     std::vector<heard_report> heard;
     std::vector<reported_load> loads;
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -9,12 +9,18 @@
 peer_report sample()
 {
     peer_report out;
+    out.scope = report_scope::domain;
     out.from = {vm_id{"a-1"}, 17};
+    out.domain = failure_domain_id{"a"};
+    out.members = 13;
+    out.relayed = true;
     out.address = "10.0.0.1:7340";
     out.sequence = 5;
     out.configuration = 9;
     out.position = 44;
     out.confirmed_age = 120ms;
+    out.replica_position = 812;
+    out.replica_age = 340ms;
     out.heard = {{{vm_id{"b-1"}, 18}, 77}};
     out.loads = {{upstream_id{"r1"}, 4}};
     out.rollouts = {
--- a/src/proxy/peer_table.cpp
+++ b/src/proxy/peer_table.cpp
@@ -12,132 +12,257 @@
 
 /// Loads must be newer than the work of a typical request.
 constexpr duration shortest_report_interval = 200ms;
-/// Datagrams a second to and from all peers together.
+/// Datagrams a second to and from all members together.
 constexpr int datagrams_per_second = 50;
+/// Digests a second from all other domains together; each crosses the domains' links once.
+constexpr int digests_per_second = 10;
 /// A peer is gone when it has missed this many reports.
 constexpr int missed_reports = 4;
 
-} // namespace
+duration spread(std::size_t senders, int per_second)
+{
+    return std::max(shortest_report_interval,
+                    duration{1s} * static_cast<int>(senders) / per_second);
+}
 
-peer_table::peer_table(process_id self, std::string address, duration timeout)
-    : self_{std::move(self)}, address_{std::move(address)}, timeout_{timeout}
+std::pair<std::uint64_t, std::uint64_t> order_of(const peer_report& report)
 {
+    return {report.from.run, report.sequence};
 }
 
+} // namespace
+
+peer_table::peer_table(peer_table_settings settings) : settings_{std::move(settings)} {}
+
 bool peer_table::is_live(const peer& item, time_point now) const
 {
-    return now - item.heard_at <= std::max(timeout_, interval_for(peers_.size()) * missed_reports);
+    const duration interval = spread(members_.size(), datagrams_per_second);
+    return now - item.heard_at <= std::max(settings_.timeout, interval * missed_reports);
 }
 
-duration peer_table::interval_for(std::size_t peers)
+bool peer_table::is_live_domain(const peer& item, time_point now) const
 {
-    const duration spread = duration{1s} * static_cast<int>(peers) / datagrams_per_second;
-    return std::max(shortest_report_interval, spread);
+    return now - item.heard_at <= std::max(settings_.timeout, digest_interval() * missed_reports);
 }
 
 duration peer_table::report_interval(time_point now) const
 {
-    return interval_for(live(now));
+    return spread(live_members(now), datagrams_per_second);
 }
 
-std::size_t peer_table::known() const
+duration peer_table::digest_interval() const
 {
-    std::size_t out = peers_.size();
-    for (const auto& address : known_addresses_) {
+    return spread(domains_.size(), digests_per_second);
+}
+
+std::size_t peer_table::known_members() const
+{
+    std::size_t out = members_.size();
+    const auto it = known_addresses_.find(settings_.domain);
+    if (it == known_addresses_.end()) {
+        return out;
+    }
+    for (const auto& address : it->second) {
         const bool reports = std::ranges::any_of(
-            peers_, [&](const auto& item) { return item.second.report.address == address; });
+            members_, [&](const auto& item) { return item.second.report.address == address; });
         out += reports ? 0 : 1;
     }
     return out;
 }
 
+std::size_t peer_table::known() const
+{
+    std::map<failure_domain_id, std::size_t> others;
+    for (const auto& [domain, addresses] : known_addresses_) {
+        others[domain] = addresses.size();
+    }
+    for (const auto& [domain, item] : domains_) {
+        others[domain] = std::max<std::size_t>(others[domain], item.report.members);
+    }
+    others.erase(settings_.domain);
+    std::size_t out = known_members();
+    for (const auto& [domain, count] : others) {
+        out += count;
+    }
+    return out;
+}
+
 bool peer_table::take(const peer_report& report, time_point now)
 {
-    if (report.from.vm == self_.vm) {
+    const bool digest = report.scope == report_scope::domain;
+    if (report.from.vm == settings_.self.vm || digest == (report.domain == settings_.domain)) {
         return false;
     }
-    peer& known = peers_[report.from.vm];
-    const auto order = [](const peer_report& r) { return std::pair{r.from.run, r.sequence}; };
-    if (known.heard_at != time_point{} && order(report) <= order(known.report)) {
+    peer& known = digest ? domains_[report.domain] : members_[report.from.vm];
+    const bool same_sender = known.report.from.vm == report.from.vm;
+    if (known.heard_at != time_point{} && same_sender &&
+        order_of(report) <= order_of(known.report)) {
         return false;
     }
     known = {report, now};
     return true;
 }
 
-void peer_table::add_address(const std::string& address)
+void peer_table::add_address(const std::string& address, const failure_domain_id& domain)
 {
-    if (address != address_ &&
-        std::ranges::find(known_addresses_, address) == known_addresses_.end()) {
-        known_addresses_.push_back(address);
+    auto& known = known_addresses_[domain];
+    if (address != settings_.address && std::ranges::find(known, address) == known.end()) {
+        known.push_back(address);
     }
 }
 
 void peer_table::forget_gone(time_point now)
 {
-    std::erase_if(peers_, [&](const auto& item) {
-        return now - item.second.heard_at > timeout_ * timeouts_until_forgotten;
-    });
+    const auto gone = [&](const auto& item) {
+        return now - item.second.heard_at > settings_.timeout * timeouts_until_forgotten;
+    };
+    std::erase_if(members_, gone);
+    std::erase_if(domains_, gone);
+}
+
+std::size_t peer_table::live_members(time_point now) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        members_, [&](const auto& item) { return is_live(item.second, now); }));
 }
 
 std::size_t peer_table::live(time_point now) const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(peers_, [&](const auto& item) { return is_live(item.second, now); }));
+    return live_members(now) +
+           static_cast<std::size_t>(std::ranges::count_if(
+               domains_, [&](const auto& item) { return is_live_domain(item.second, now); }));
 }
 
-std::vector<std::string> peer_table::addresses(std::uint64_t round, time_point now) const
+std::vector<std::string> peer_table::member_addresses(time_point now) const
 {
     std::vector<std::string> out;
-    std::vector<std::string> silent = known_addresses_;
-    for (const auto& [vm, item] : peers_) {
+    for (const auto& [vm, item] : members_) {
+        if (is_live(item, now)) {
+            out.push_back(item.report.address);
+        }
+    }
+    return out;
+}
+
+std::vector<std::string> peer_table::addresses(std::uint64_t round, time_point now) const
+{
+    std::vector<std::string> out = member_addresses(now);
+    std::vector<std::string> silent;
+    if (const auto it = known_addresses_.find(settings_.domain); it != known_addresses_.end()) {
+        silent = it->second;
+    }
+    for (const auto& [vm, item] : members_) {
         std::erase(silent, item.report.address);
-        (is_live(item, now) ? out : silent).push_back(item.report.address);
+        if (!is_live(item, now)) {
+            silent.push_back(item.report.address);
+        }
     }
-    // One silent address a round finds peers that return at little cost.
+    // One silent address a round finds members that return at little cost.
     if (!silent.empty()) {
         out.push_back(silent[round % silent.size()]);
     }
     return out;
 }
 
-std::vector<heard_report> peer_table::heard(time_point now) const
+std::vector<std::string> peer_table::digest_addresses(std::uint64_t round, time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto& [domain, item] : domains_) {
+        if (is_live_domain(item, now)) {
+            out.push_back(item.report.address);
+        }
+    }
+    for (const auto& [domain, addresses] : known_addresses_) {
+        const auto it = domains_.find(domain);
+        const bool heard = it != domains_.end() && is_live_domain(it->second, now);
+        if (domain != settings_.domain && !heard && !addresses.empty()) {
+            out.push_back(addresses[round % addresses.size()]);
+        }
+    }
+    return out;
+}
+
+std::vector<heard_report> peer_table::heard(report_scope scope, time_point now) const
 {
     std::vector<heard_report> out;
-    for (const auto& [vm, item] : peers_) {
-        if (is_live(item, now)) {
+    if (scope == report_scope::vm) {
+        for (const auto& [vm, item] : members_) {
+            if (is_live(item, now)) {
+                out.push_back({item.report.from, item.report.sequence});
+            }
+        }
+        return out;
+    }
+    for (const auto& [domain, item] : domains_) {
+        if (is_live_domain(item, now)) {
             out.push_back({item.report.from, item.report.sequence});
         }
     }
     return out;
 }
 
-std::map<upstream_id, std::uint32_t> peer_table::loads(time_point now) const
+void peer_table::add_loads(const peer_report& report, std::map<upstream_id, std::uint32_t>& out)
+{
+    for (const auto& load : report.loads) {
+        out[load.upstream] += load.in_flight;
+    }
+}
+
+std::map<upstream_id, std::uint32_t> peer_table::member_loads(time_point now) const
 {
     std::map<upstream_id, std::uint32_t> out;
-    for (const auto& [vm, item] : peers_) {
-        if (!is_live(item, now)) {
-            continue;
+    for (const auto& [vm, item] : members_) {
+        if (is_live(item, now)) {
+            add_loads(item.report, out);
         }
-        for (const auto& load : item.report.loads) {
-            out[load.upstream] += load.in_flight;
+    }
+    return out;
+}
+
+std::map<upstream_id, std::uint32_t> peer_table::loads(time_point now) const
+{
+    auto out = member_loads(now);
+    for (const auto& [domain, item] : domains_) {
+        if (is_live_domain(item, now)) {
+            add_loads(item.report, out);
         }
     }
     return out;
 }
 
-std::size_t peer_table::rank(time_point now) const
+std::size_t peer_table::member_rank(bool leaving, time_point now) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(peers_, [&](const auto& item) {
-        return is_live(item.second, now) && !item.second.report.leaving && item.first < self_.vm;
+    return static_cast<std::size_t>(std::ranges::count_if(members_, [&](const auto& item) {
+        return is_live(item.second, now) && !item.second.report.leaving &&
+               (leaving || item.first < settings_.self.vm);
     }));
 }
 
-bool peer_table::ahead_of(log_offset position, time_point now) const
+std::size_t peer_table::rank(bool leaving, time_point now) const
 {
-    return std::ranges::any_of(peers_, [&](const auto& item) {
+    const std::size_t members = member_rank(leaving, now);
+    const auto domains = std::ranges::count_if(domains_, [&](const auto& item) {
+        return is_live_domain(item.second, now) && (members > 0 || item.first < settings_.domain);
+    });
+    return members + static_cast<std::size_t>(domains);
+}
+
+bool peer_table::ahead_of(log_offset position, bool speaker, time_point now) const
+{
+    const bool by_member = std::ranges::any_of(members_, [&](const auto& item) {
         return is_live(item.second, now) && item.second.report.position > position;
     });
+    return by_member ||
+           (speaker && std::ranges::any_of(domains_, [&](const auto& item) {
+                return is_live_domain(item.second, now) && item.second.report.position > position;
+            }));
+}
+
+bool peer_table::replicas_ahead_of(log_offset position, time_point now) const
+{
+    return std::ranges::any_of(members_, [&](const auto& item) {
+        return is_live(item.second, now) && item.second.report.replica_position > position;
+    });
 }
 
 } // namespace wagtailhitch
--- a/src/proxy/peer_table_test.cpp
+++ b/src/proxy/peer_table_test.cpp
@@ -10,6 +10,7 @@
     static peer_report report(const std::string& vm, std::uint64_t sequence)
     {
         peer_report out;
+        out.domain = failure_domain_id{"a"};
         out.from = {vm_id{vm}, 1};
         out.address = vm + ":1";
         out.sequence = sequence;
@@ -22,8 +23,17 @@
         return table_.take(report(vm, sequence), clock_.now());
     }
 
+    bool take_digest(const std::string& vm, const std::string& domain, std::uint64_t sequence)
+    {
+        peer_report out = report(vm, sequence);
+        out.scope = report_scope::domain;
+        out.domain = failure_domain_id{domain};
+        out.members = 5;
+        return table_.take(out, clock_.now());
+    }
+
     manual_clock clock_;
-    peer_table table_{{vm_id{"m"}, 1}, "m:1", 2s};
+    peer_table table_{{{vm_id{"m"}, 1}, "m:1", failure_domain_id{"a"}, 2s}};
 };
 
 TEST_F(peer_table_test, own_and_older_reports_are_refused)
@@ -47,17 +57,63 @@
 {
     take("a", 1);
     take("z", 1);
-    EXPECT_EQ(table_.rank(clock_.now()), 1U);
+    EXPECT_EQ(table_.member_rank(false, clock_.now()), 1U);
+    EXPECT_EQ(table_.member_rank(true, clock_.now()), 2U)
+        << "All others come before a VM that stops.";
     clock_.advance(3s);
-    EXPECT_EQ(table_.rank(clock_.now()), 0U);
+    EXPECT_EQ(table_.member_rank(false, clock_.now()), 0U);
+}
+
+TEST_F(peer_table_test, speaker_ranks_after_the_speakers_of_earlier_domains_only)
+{
+    take("z", 1);
+    take_digest("x", "0", 1);
+    take_digest("y", "b", 1);
+    EXPECT_EQ(table_.rank(false, clock_.now()), 1U);
+    take("a", 1);
+    EXPECT_EQ(table_.rank(false, clock_.now()), 3U) << "Every speaker comes before a member.";
+}
+
+TEST_F(peer_table_test, digests_of_the_own_domain_and_reports_of_others_are_refused)
+{
+    EXPECT_FALSE(take_digest("a", "a", 1));
+    auto foreign = report("x", 1);
+    foreign.domain = failure_domain_id{"b"};
+    EXPECT_FALSE(table_.take(foreign, clock_.now()));
+    EXPECT_TRUE(take_digest("x", "b", 1));
+    EXPECT_FALSE(take_digest("x", "b", 1));
+    EXPECT_TRUE(take_digest("y", "b", 1)) << "A new speaker counts its own reports.";
+}
+
+TEST_F(peer_table_test, digests_add_loads_and_vms_but_not_to_the_own_digest)
+{
+    take("a", 1);
+    take_digest("x", "b", 1);
+    EXPECT_EQ(table_.loads(clock_.now()).at(upstream_id{"r"}), 4U);
+    EXPECT_EQ(table_.member_loads(clock_.now()).at(upstream_id{"r"}), 2U);
+    EXPECT_EQ(table_.known(), 6U);
+    EXPECT_EQ(table_.known_members(), 1U);
+}
+
+TEST_F(peer_table_test, digest_goes_to_the_speaker_of_a_domain_or_to_each_known_address_in_turn)
+{
+    table_.add_address("b1:1", failure_domain_id{"b"});
+    table_.add_address("b2:1", failure_domain_id{"b"});
+    table_.add_address("a1:1", failure_domain_id{"a"});
+    EXPECT_EQ(table_.digest_addresses(0, clock_.now()), (std::vector<std::string>{"b1:1"}));
+    EXPECT_EQ(table_.digest_addresses(1, clock_.now()), (std::vector<std::string>{"b2:1"}));
+    take_digest("b2", "b", 1);
+    EXPECT_EQ(table_.digest_addresses(0, clock_.now()), (std::vector<std::string>{"b2:1"}));
+    clock_.advance(3s);
+    EXPECT_EQ(table_.digest_addresses(0, clock_.now()), (std::vector<std::string>{"b1:1"}));
 }
 
 TEST_F(peer_table_test, silent_addresses_are_tried_in_turn)
 {
     take("a", 1);
-    table_.add_address("x:1");
-    table_.add_address("y:1");
-    table_.add_address("m:1");
+    for (const char* address : {"x:1", "y:1", "m:1"}) {
+        table_.add_address(address, failure_domain_id{"a"});
+    }
     EXPECT_EQ(table_.addresses(0, clock_.now()), (std::vector<std::string>{"a:1", "x:1"}));
     EXPECT_EQ(table_.addresses(1, clock_.now()), (std::vector<std::string>{"a:1", "y:1"}));
     EXPECT_EQ(table_.known(), 3U);
@@ -66,8 +122,15 @@
 TEST_F(peer_table_test, peer_that_read_further_is_noticed)
 {
     take("a", 1);
-    EXPECT_TRUE(table_.ahead_of(6, clock_.now()));
-    EXPECT_FALSE(table_.ahead_of(7, clock_.now()));
+    EXPECT_TRUE(table_.ahead_of(6, false, clock_.now()));
+    EXPECT_FALSE(table_.ahead_of(7, false, clock_.now()));
+    auto far = report("x", 1);
+    far.scope = report_scope::domain;
+    far.domain = failure_domain_id{"b"};
+    far.position = 9;
+    table_.take(far, clock_.now());
+    EXPECT_FALSE(table_.ahead_of(7, false, clock_.now())) << "The speaker reads for its domain.";
+    EXPECT_TRUE(table_.ahead_of(7, true, clock_.now()));
 }
 
 TEST_F(peer_table_test, reports_of_a_large_deployment_stay_bounded_and_peers_live_as_long)
@@ -80,7 +143,7 @@
     const std::chrono::duration<double> interval = table_.report_interval(clock_.now());
     EXPECT_LE(vms / interval.count(), datagrams_bound);
     clock_.advance(2 * table_.report_interval(clock_.now()));
-    EXPECT_EQ(table_.live(clock_.now()), static_cast<std::size_t>(vms));
+    EXPECT_EQ(table_.live_members(clock_.now()), static_cast<std::size_t>(vms));
 }
 
 } // namespace
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -57,12 +57,14 @@
 
 proxy_core::proxy_core(proxy_settings settings, metrics& registry, time_point now)
     : settings_{std::move(settings)}, counters_{registry}, generator_{settings_.seed},
-      directory_{settings_.directory, settings_.regions}, pool_{settings_.pool},
-      chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
+      schedule_{settings_.reading}, directory_{settings_.directory, settings_.regions},
+      pool_{settings_.pool}, chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
       link_{{.bytes_per_second = settings_.link_bytes_per_second}, now}, retries_{settings_.retry},
       models_{settings_.models}, bills_{settings_.self, settings_.bills},
-      rollouts_{settings_.self, settings_.rollout}, peers_{settings_.self, settings_.report_address,
-                                                           settings_.peer_timeout},
+      rollouts_{settings_.self, settings_.rollout}, peers_{{settings_.self,
+                                                            settings_.report_address,
+                                                            settings_.failure_domain,
+                                                            settings_.peer_timeout}},
       sessions_{settings_.session_memory}
 {
 }
@@ -339,7 +341,7 @@
     out.on_trial = rollout != nullptr && rollout->order().target == out.software &&
                    rollout->state() == rollout_state::running;
     if (!request.session.empty()) {
-        sessions_.remember(hash64(request.session), out.software, now);
+        sessions_.remember(hash64(request.session), out.software, now, session_source::self);
     }
     return out;
 }
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -6,6 +6,7 @@
 #include "proxy/catalog.hpp"
 #include "proxy/model_ladder.hpp"
 #include "proxy/peer_table.hpp"
+#include "proxy/reading_schedule.hpp"
 #include "proxy/replica_directory.hpp"
 #include "proxy/rollout_board.hpp"
 #include "proxy/session_memory.hpp"
@@ -105,6 +106,7 @@
     duration session_memory{5s};
     /// A peer that has not reported for so long is taken as gone.
     duration peer_timeout{2s};
+    reading_settings reading{};
     double link_bytes_per_second{0}; ///< this VM's part of the link between regions
     /// Repeats beyond the share of requests that all VMs together may make within the budget's
     /// window, and the fewest VMs that they are divided among: those of today and their spares.
@@ -124,6 +126,9 @@
     std::uint64_t seed{1};
 };
 
+/// Streams of the store that every VM keeps up with.
+enum class followed_stream { operators, replicas };
+
 struct readiness {
     bool ready{false};
     std::string reason; ///< why not
@@ -139,12 +144,18 @@
     /// A read of the configuration that began at `asked_at` found nothing newer than what is in
     /// force.
     void confirm(time_point asked_at);
-    /// The operators' records have been read up to here, by a read that began at `asked_at`.
-    void note_read(log_offset position, time_point asked_at);
+    /// A stream is known up to `read_to`; its last record that changed anything ends at
+    /// `changed_at`.
+    void note_position(followed_stream stream, log_offset changed_at, log_offset read_to);
+    /// A read that began at `asked_at` found nothing beyond what is known.
+    void note_read(followed_stream stream, time_point asked_at);
     /// A replica announces software that may belong to a roll-out this VM has not read of yet.
     [[nodiscard]] bool has_unexplained_software() const;
-    /// A peer has read further.
-    [[nodiscard]] bool behind_peers(time_point now) const;
+    /// The stream is to be read at once, since another VM has read further or what is known does
+    /// not explain the replicas.
+    [[nodiscard]] bool must_read(followed_stream stream, time_point now) const;
+    /// Until this VM reads the stream itself, unless another VM confirms it; see reading_schedule.
+    [[nodiscard]] duration until_read(followed_stream stream, time_point now) const;
     void set_bounds(duration key_validity, duration certain_refusal);
     replica_directory& replicas() { return directory_; }
     rollout_board& rollouts() { return rollouts_; }
@@ -152,7 +163,10 @@
     void note_address_reused(const upstream_id& id, time_point now);
     /// False when the report is older than one taken before.
     bool take_report(const peer_report& report, time_point now);
-    [[nodiscard]] peer_report make_report(time_point now);
+    /// What to tell the members of the failure domain, or as their speaker the other domains.
+    [[nodiscard]] peer_report make_report(report_scope scope, time_point now);
+    /// This VM sends the digest of its failure domain.
+    [[nodiscard]] bool speaks(time_point now) const;
     /// Applies what is due with time; states that this VM should publish now.
     std::vector<rollout_publication> tick(time_point now);
     /// Reports not ready from now on.
@@ -202,9 +216,11 @@
     [[nodiscard]] duration configuration_age(time_point now) const { return now - confirmed_at_; }
     peer_table& peers() { return peers_; }
     /// Where to send the report that was made last.
-    [[nodiscard]] std::vector<std::string> report_addresses(time_point now) const
+    [[nodiscard]] std::vector<std::string> report_addresses(report_scope scope,
+                                                            time_point now) const
     {
-        return peers_.addresses(report_sequence_, now);
+        return scope == report_scope::vm ? peers_.addresses(report_sequence_, now)
+                                         : peers_.digest_addresses(report_sequence_, now);
     }
     [[nodiscard]] std::size_t live_peers(time_point now) const { return peers_.live(now); }
     [[nodiscard]] std::mt19937_64& generator() { return generator_; }
@@ -244,8 +260,19 @@
     std::mt19937_64 generator_;
     std::shared_ptr<const proxy_catalog> catalog_;
     time_point confirmed_at_{};
-    log_offset position_{0};
-    time_point read_at_{}; ///< start of the last own read of the operators' records
+    /// What is known of a stream, and the start of the read that last confirmed it.
+    struct stream_view {
+        log_offset changed_at{0};
+        log_offset read_to{0};
+        time_point confirmed_at{};
+    };
+    [[nodiscard]] const stream_view& view(followed_stream stream) const
+    {
+        return streams_[static_cast<std::size_t>(stream)];
+    }
+    void confirm(followed_stream stream, log_offset changed_at, time_point asked_at);
+    std::array<stream_view, 2> streams_{}; ///< by followed_stream
+    reading_schedule schedule_;
     bool stopping_{false};
     bool refusing_{false};
     replica_directory directory_;
--- a/src/proxy/proxy_core_beliefs.cpp
+++ b/src/proxy/proxy_core_beliefs.cpp
@@ -21,17 +21,33 @@
     confirmed_at_ = std::max(confirmed_at_, asked_at);
 }
 
-void proxy_core::note_read(log_offset position, time_point asked_at)
+void proxy_core::note_position(followed_stream stream, log_offset changed_at, log_offset read_to)
 {
-    position_ = position;
-    read_at_ = asked_at;
+    stream_view& known = streams_[static_cast<std::size_t>(stream)];
+    known.changed_at = changed_at;
+    known.read_to = read_to;
+}
+
+void proxy_core::note_read(followed_stream stream, time_point asked_at)
+{
+    confirm(stream, view(stream).changed_at, asked_at);
+}
+
+// A read that found the last change at `changed_at` confirms only a view that includes it.
+void proxy_core::confirm(followed_stream stream, log_offset changed_at, time_point asked_at)
+{
+    stream_view& known = streams_[static_cast<std::size_t>(stream)];
+    if (known.read_to >= changed_at) {
+        known.confirmed_at = std::max(known.confirmed_at, asked_at);
+    }
 }
 
 // The order of a roll-out is written before its replicas start, so that a read which began after
 // the first of them was seen has found the order, if there is one.
 bool proxy_core::is_explained(const std::string& service, const std::string& software) const
 {
-    return directory_.first_seen(software_version(service, software)) <= read_at_;
+    return directory_.first_seen(software_version(service, software)) <=
+           view(followed_stream::operators).confirmed_at;
 }
 
 bool proxy_core::has_unexplained_software() const
@@ -42,9 +58,25 @@
     });
 }
 
-bool proxy_core::behind_peers(time_point now) const
+bool proxy_core::must_read(followed_stream stream, time_point now) const
+{
+    const log_offset position = view(stream).read_to;
+    if (stream == followed_stream::replicas) {
+        return peers_.replicas_ahead_of(position, now);
+    }
+    const bool speaker = speaks(now);
+    return peers_.ahead_of(position, speaker, now) || (speaker && has_unexplained_software());
+}
+
+duration proxy_core::until_read(followed_stream stream, time_point now) const
+{
+    return schedule_.until_read(peers_.member_rank(stopping_, now),
+                                now - view(stream).confirmed_at);
+}
+
+bool proxy_core::speaks(time_point now) const
 {
-    return peers_.ahead_of(position_, now);
+    return peers_.member_rank(stopping_, now) == 0;
 }
 
 void proxy_core::set_bounds(duration key_validity, duration certain_refusal)
@@ -69,8 +101,10 @@
     }
     confirm_by_peer(report);
     rollouts_.take(report, now);
+    const auto source =
+        report.scope == report_scope::vm ? session_source::member : session_source::other_domain;
     for (const auto& item : report.sessions) {
-        sessions_.remember(item.session, item.software, now - item.age);
+        sessions_.remember(item.session, item.software, now - item.age, source);
     }
     return true;
 }
@@ -79,39 +113,51 @@
 // the peer took the named report of this VM, which was made at a known time.
 void proxy_core::confirm_by_peer(const peer_report& report)
 {
-    if (!catalog_ || report.configuration != catalog_->version()) {
-        return;
-    }
+    const bool same_catalog = catalog_ && report.configuration == catalog_->version();
     for (const auto& heard : report.heard) {
         const bool known = heard.sequence <= report_sequence_ &&
                            report_sequence_ - heard.sequence < reports_made_at_.size();
         if (heard.from == settings_.self && known) {
-            confirm(reports_made_at_[heard.sequence % reports_made_at_.size()] -
-                    report.confirmed_age);
+            const time_point sent = reports_made_at_[heard.sequence % reports_made_at_.size()];
+            if (same_catalog) {
+                confirm(sent - report.confirmed_age);
+            }
+            confirm(followed_stream::operators, report.position, sent - report.confirmed_age);
+            confirm(followed_stream::replicas, report.replica_position, sent - report.replica_age);
         }
     }
 }
 
-peer_report proxy_core::make_report(time_point now)
+peer_report proxy_core::make_report(report_scope scope, time_point now)
 {
+    const bool digest = scope == report_scope::domain;
     peer_report report;
+    report.scope = scope;
+    report.domain = settings_.failure_domain;
+    report.members = static_cast<std::uint32_t>(peers_.known_members() + 1);
     report.from = settings_.self;
     report.address = settings_.report_address;
     report.sequence = ++report_sequence_;
     reports_made_at_[report_sequence_ % reports_made_at_.size()] = now;
-    report.heard = peers_.heard(now);
+    report.heard = peers_.heard(scope, now);
     report.configuration = catalog_ ? catalog_->version() : 0;
-    report.position = position_;
+    report.position = view(followed_stream::operators).changed_at;
     report.confirmed_age = configuration_age(now);
+    report.replica_position = view(followed_stream::replicas).changed_at;
+    report.replica_age = now - view(followed_stream::replicas).confirmed_at;
     report.leaving = stopping_;
+    auto loads = digest ? peers_.member_loads(now) : std::map<upstream_id, std::uint32_t>{};
     for (const auto& [id, entry] : directory_.entries()) {
         const auto replica = pool_.find(id);
-        if (replica && pool_.load(*replica).in_flight > 0) {
-            report.loads.push_back({id, pool_.load(*replica).in_flight});
+        const std::uint32_t in_flight =
+            (replica ? pool_.load(*replica).in_flight : 0) + (digest ? loads[id] : 0);
+        if (in_flight > 0) {
+            report.loads.push_back({id, in_flight});
         }
     }
     rollouts_.fill(report, now);
-    report.sessions = sessions_.exposed(settings_.rollout, now);
+    report.sessions = sessions_.exposed(
+        settings_.rollout, digest ? session_source::member : session_source::self, now);
     return report;
 }
 
@@ -127,7 +173,7 @@
     }
     refresh_loads(now);
     judge_rollouts(now);
-    return rollouts_.publications(peers_.rank(now), now);
+    return rollouts_.publications(peers_.rank(stopping_, now), now);
 }
 
 void proxy_core::judge_rollouts(time_point now)
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -162,7 +162,8 @@
 
 TEST_F(proxy_core_test, software_that_appears_before_its_order_is_known_gets_nothing)
 {
-    at_.core.note_read(1, at_.clock.now());
+    at_.core.note_position(followed_stream::operators, 1, 1);
+    at_.core.note_read(followed_stream::operators, at_.clock.now());
     at_.clock.advance(1s);
     at_.announce(make_replica("new-a", "engine", "a", "v2"));
     at_.core.tick(at_.clock.now());
@@ -171,7 +172,8 @@
         EXPECT_EQ(software_for("s" + std::to_string(i)), "v1");
     }
     at_.clock.advance(1s);
-    at_.core.note_read(2, at_.clock.now());
+    at_.core.note_position(followed_stream::operators, 2, 2);
+    at_.core.note_read(followed_stream::operators, at_.clock.now());
     EXPECT_FALSE(at_.core.has_unexplained_software()) << "No roll-out was ordered for it.";
 }
 
@@ -189,7 +191,8 @@
     }
     other.core.rollouts().order({"engine", "v2", 20s}, other.clock.now());
     other.core.rollouts().note_published("engine", "v2", rollout_state::running);
-    other.core.take_report(at_.core.make_report(at_.clock.now()), other.clock.now());
+    other.core.take_report(at_.core.make_report(report_scope::vm, at_.clock.now()),
+                           other.clock.now());
     for (const auto& session : sessions) {
         auto request = other.request("/report/1", session);
         const auto admitted = other.core.admit(request, other.clock.now());
@@ -203,7 +206,7 @@
 TEST_F(proxy_core_test, halted_version_gets_nothing_on_any_vm_that_hears_of_it)
 {
     order_rollout();
-    auto report = proxy_deployment{"vm-2"}.core.make_report(at_.clock.now());
+    auto report = proxy_deployment{"vm-2"}.core.make_report(report_scope::vm, at_.clock.now());
     report.rollouts = {
         {{"engine", "v2", 20s}, 1s, rollout_state::rolled_back, std::nullopt, "bad"}};
     ASSERT_TRUE(at_.core.take_report(report, at_.clock.now()));
@@ -217,8 +220,8 @@
     order_rollout();
     const version_id group{"engine@v2#"};
     for (int vm = 2; vm <= 6; ++vm) {
-        auto report =
-            proxy_deployment{"vm-" + std::to_string(vm)}.core.make_report(at_.clock.now());
+        auto report = proxy_deployment{"vm-" + std::to_string(vm)}.core.make_report(
+            report_scope::vm, at_.clock.now());
         report.evidence = {{group, {.answers = 6, .errors = 3}}};
         at_.core.take_report(report, at_.clock.now());
     }
@@ -231,19 +234,21 @@
 {
     proxy_deployment peer{"vm-2"};
     peer.core.confirm(peer.clock.now());
-    const auto own = at_.core.make_report(at_.clock.now());
+    const auto own = at_.core.make_report(report_scope::vm, at_.clock.now());
     at_.clock.advance(3s);
     peer.clock.advance(3s);
     peer.core.take_report(own, peer.clock.now());
     peer.core.confirm(peer.clock.now() - 500ms);
-    at_.core.take_report(peer.core.make_report(peer.clock.now()), at_.clock.now());
+    at_.core.take_report(peer.core.make_report(report_scope::vm, peer.clock.now()),
+                         at_.clock.now());
     // The peer's report was sent after the own one of three seconds ago, and its read began half a
     // second before it was sent.
     EXPECT_EQ(at_.core.configuration_age(at_.clock.now()), 3s)
         << "The own confirmation of three seconds ago is the better one.";
-    const auto later = at_.core.make_report(at_.clock.now());
+    const auto later = at_.core.make_report(report_scope::vm, at_.clock.now());
     peer.core.take_report(later, peer.clock.now());
-    at_.core.take_report(peer.core.make_report(peer.clock.now()), at_.clock.now());
+    at_.core.take_report(peer.core.make_report(report_scope::vm, peer.clock.now()),
+                         at_.clock.now());
     EXPECT_EQ(at_.core.configuration_age(at_.clock.now()), 500ms);
 }
 
@@ -252,9 +257,11 @@
     proxy_deployment peer{"vm-2"};
     peer.core.set_catalog(std::make_shared<const proxy_catalog>(make_contents(2)));
     at_.clock.advance(2s);
-    peer.core.take_report(at_.core.make_report(at_.clock.now()), peer.clock.now());
+    peer.core.take_report(at_.core.make_report(report_scope::vm, at_.clock.now()),
+                          peer.clock.now());
     peer.core.confirm(peer.clock.now());
-    at_.core.take_report(peer.core.make_report(peer.clock.now()), at_.clock.now());
+    at_.core.take_report(peer.core.make_report(report_scope::vm, peer.clock.now()),
+                         at_.clock.now());
     EXPECT_EQ(at_.core.configuration_age(at_.clock.now()), 2s);
 }
 
@@ -263,7 +270,8 @@
 {
     constexpr int vms = 90;
     for (int i = 0; i < vms - 1; ++i) {
-        at_.core.peers().add_address("10.0.0." + std::to_string(i) + ":1");
+        at_.core.peers().add_address("10.0.0." + std::to_string(i) + ":1",
+                                     failure_domain_id{i % 2 == 0 ? "a" : "b"});
     }
     auto request = at_.request("/read/1");
     const auto admitted = at_.core.admit(request, at_.clock.now());
@@ -278,8 +286,8 @@
 TEST_F(proxy_core_test, reordered_report_is_ignored)
 {
     proxy_deployment peer{"vm-2"};
-    const auto first = peer.core.make_report(peer.clock.now());
-    const auto second = peer.core.make_report(peer.clock.now());
+    const auto first = peer.core.make_report(report_scope::vm, peer.clock.now());
+    const auto second = peer.core.make_report(report_scope::vm, peer.clock.now());
     EXPECT_TRUE(at_.core.take_report(second, at_.clock.now()));
     EXPECT_FALSE(at_.core.take_report(first, at_.clock.now()));
     EXPECT_FALSE(at_.core.take_report(second, at_.clock.now()));
@@ -319,11 +327,11 @@
             break;
         case 2: { // A report that arrives.
             auto& other = *vms[*rc::gen::inRange<std::size_t>(0, vms.size())];
-            other.core.take_report(vm.core.make_report(now), now);
+            other.core.take_report(vm.core.make_report(report_scope::vm, now), now);
             break;
         }
         default: // Reports and reads that are lost.
-            (void)vm.core.make_report(now);
+            (void)vm.core.make_report(report_scope::vm, now);
             break;
         }
         for (const auto& it : vms) {
--- /dev/null
+++ b/src/proxy/reading_schedule.cpp
@@ -0,0 +1,21 @@
+#include "proxy/reading_schedule.hpp"
+
+#include <algorithm>
+
+namespace wagtailhitch {
+
+duration reading_schedule::due_age(std::size_t rank) const
+{
+    if (rank == 0) {
+        return settings_.first;
+    }
+    return std::min(settings_.longest,
+                    settings_.second + settings_.step * static_cast<int>(rank - 1));
+}
+
+duration reading_schedule::until_read(std::size_t rank, duration age) const
+{
+    return std::max(duration{0}, due_age(rank) - age);
+}
+
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/proxy/reading_schedule_test.cpp
@@ -0,0 +1,60 @@
+#include "proxy/reading_schedule.hpp"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace wagtailhitch {
+namespace {
+
+class reading_schedule_test : public testing::Test {
+protected:
+    /// Reads by each member in a minute while the confirmations of a read reach the other members
+    /// after `delay`; members below `first_alive` do not read.
+    static std::vector<int> reads_in_a_minute(std::size_t members, std::size_t first_alive,
+                                              duration delay)
+    {
+        const reading_schedule schedule{{}};
+        std::vector<int> reads(members);
+        std::vector<duration> confirmed(members);
+        std::vector<std::pair<duration, std::size_t>> under_way;
+        for (duration now{}; now < 60s; now += 10ms) {
+            for (const auto& [read_at, reader] : under_way) {
+                for (std::size_t i = 0; i < members; ++i) {
+                    if (i == reader || now >= read_at + delay) {
+                        confirmed[i] = std::max(confirmed[i], read_at);
+                    }
+                }
+            }
+            for (std::size_t i = first_alive; i < members; ++i) {
+                if (schedule.until_read(i - first_alive, now - confirmed[i]) == 0s) {
+                    confirmed[i] = now;
+                    ++reads[i];
+                    under_way.emplace_back(now, i);
+                }
+            }
+        }
+        return reads;
+    }
+};
+
+TEST_F(reading_schedule_test, only_the_first_member_reads_while_its_confirmations_arrive)
+{
+    const auto reads = reads_in_a_minute(13, 0, 500ms);
+    EXPECT_NEAR(reads[0], 85, 2) << "The first member reads every 700 ms.";
+    for (std::size_t i = 1; i < reads.size(); ++i) {
+        EXPECT_LE(reads[i], 1) << "Member " << i << " reads at the start at most.";
+    }
+}
+
+TEST_F(reading_schedule_test, member_without_confirmations_reads_within_its_bound)
+{
+    const reading_schedule schedule{{}};
+    for (std::size_t rank = 0; rank < 40; ++rank) {
+        EXPECT_LE(schedule.due_age(rank), 2400ms);
+        EXPECT_EQ(schedule.until_read(rank, 2400ms), 0s);
+    }
+}
+
+} // namespace
+} // namespace wagtailhitch
--- /dev/null
+++ b/src/proxy/relayed_records.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/error.hpp"
+#include "base/ids.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+// Records that one VM has read from a stream of the store, passed on to the members of its failure
+// domain, so that a change costs one read for each domain.
+//
+//   std::string data = encode_relayed_records(records);
+//   expected<relayed_records> records = decode_relayed_records(data);
+
+namespace wagtailhitch {
+
+struct relayed_record {
+    std::string key;
+    std::string value; ///< empty: the key was dropped
+    log_offset offset{0};
+
+    friend bool operator==(const relayed_record&, const relayed_record&) = default;
+};
+
+struct relayed_records {
+    std::string stream;
+    /// A receiver that has read up to here or further misses nothing by taking these records.
+    log_offset complete_from{0};
+    log_offset next{0}; ///< where the following read begins
+    std::vector<relayed_record> records;
+
+    friend bool operator==(const relayed_records&, const relayed_records&) = default;
+};
+
+std::string encode_relayed_records(const relayed_records& records);
+/// Errors: malformed_request.
+expected<relayed_records> decode_relayed_records(std::string_view data);
+
+} // namespace wagtailhitch
--- a/src/proxy/rollout_board.cpp
+++ b/src/proxy/rollout_board.cpp
@@ -73,7 +73,12 @@
 void rollout_board::take(const peer_report& report, time_point now)
 {
     for (const auto& item : report.evidence) {
-        evidence_.set(report.from, item.group, item.counts);
+        if (report.scope == report_scope::domain) {
+            domain_evidence_[report.domain][item.group] = item.counts;
+        }
+        else {
+            evidence_.set(report.from, item.group, item.counts);
+        }
     }
     for (const auto& item : report.rollouts) {
         const auto it = rollouts_.find(item.order.service);
@@ -94,9 +99,17 @@
         report.rollouts.push_back({rollout.order(), rollout.age(now), rollout.state(),
                                    rollout.published(), rollout.reason()});
     }
-    for (const auto& [group, counts] : own_evidence_) {
+    if (report.scope == report_scope::vm) {
+        for (const auto& [group, counts] : own_evidence_) {
+            if (is_judged(group)) {
+                report.evidence.push_back({group, counts});
+            }
+        }
+        return;
+    }
+    for (const auto& group : evidence_.versions()) {
         if (is_judged(group)) {
-            report.evidence.push_back({group, counts});
+            report.evidence.push_back({group, evidence_.total(group)});
         }
     }
 }
@@ -110,6 +123,17 @@
     });
 }
 
+version_counts rollout_board::total(const version_id& group) const
+{
+    version_counts out = evidence_.total(group);
+    for (const auto& [domain, groups] : domain_evidence_) {
+        if (const auto it = groups.find(group); it != groups.end()) {
+            out += it->second;
+        }
+    }
+    return out;
+}
+
 void rollout_board::note_answer(const version_id& version, std::string_view route, bool failed,
                                 bool slow)
 {
@@ -129,10 +153,10 @@
 {
     const version_id fresh = software_version(service, rollout.order().target);
     const auto halts = [&](std::string_view route) {
-        const version_counts counts = evidence_.total(evidence_group(fresh, route));
+        const version_counts counts = total(evidence_group(fresh, route));
         version_counts baseline;
         for (const auto& software : surroundings.old_software) {
-            baseline += evidence_.total(evidence_group(software_version(service, software), route));
+            baseline += total(evidence_group(software_version(service, software), route));
         }
         return counts.answers > 0 && rollout.judge(counts, baseline);
     };
@@ -151,7 +175,7 @@
         const rollout_surroundings around = surroundings(service, target);
         halted += judge_groups(service, rollout, routes, around) ? 1 : 0;
         const auto answers =
-            evidence_.total(evidence_group(software_version(service, target), all_routes)).answers;
+            total(evidence_group(software_version(service, target), all_routes)).answers;
         if (rollout.due(answers, around.old_in_flight, now) != rollout_state::running) {
             publication_due_.erase(service);
         }
--- a/src/proxy/rollout_board.hpp
+++ b/src/proxy/rollout_board.hpp
@@ -49,6 +49,7 @@
                   time_point now);
     /// What another VM says.
     void take(const peer_report& report, time_point now);
+    /// Adds what this VM has to say; to a digest, also the evidence of the other members.
     void fill(peer_report& report, time_point now) const;
 
     /// A complete answer, or a failure at the upstream, of a request on `route`.
@@ -68,6 +69,7 @@
 private:
     [[nodiscard]] service_rollout* find(const std::string& service, const std::string& target);
     [[nodiscard]] bool is_judged(const version_id& group) const;
+    [[nodiscard]] version_counts total(const version_id& group) const;
     bool judge_groups(const std::string& service, service_rollout& rollout,
                       const std::vector<std::string>& routes,
                       const rollout_surroundings& surroundings);
@@ -76,7 +78,8 @@
     service_rollout_settings settings_;
     std::map<std::string, service_rollout> rollouts_; ///< by service
     std::map<std::string, time_point> publication_due_;
-    evidence_pool evidence_;
+    evidence_pool evidence_; ///< of this VM and the members of its domain
+    std::map<failure_domain_id, std::map<version_id, version_counts>> domain_evidence_;
     std::map<version_id, version_counts> own_evidence_;
 };
 
--- a/src/proxy/session_memory.cpp
+++ b/src/proxy/session_memory.cpp
@@ -3,11 +3,11 @@
 namespace wagtailhitch {
 
 void session_memory::remember(std::uint64_t session, const std::string& software,
-                              time_point used_at)
+                              time_point used_at, session_source source)
 {
     entry& known = entries_[session];
     if (used_at >= known.used_at) {
-        known = {software, used_at};
+        known = {software, used_at, source};
     }
 }
 
@@ -19,12 +19,13 @@
 }
 
 std::vector<reported_session> session_memory::exposed(const service_rollout_settings& settings,
-                                                      time_point now) const
+                                                      session_source widest, time_point now) const
 {
     std::vector<reported_session> out;
     for (const auto& [session, known] : entries_) {
         const duration age = now - known.used_at;
-        if (age <= lifetime_ && service_rollout::exposes(session, settings)) {
+        if (age <= lifetime_ && known.source <= widest &&
+            service_rollout::exposes(session, settings)) {
             out.push_back({session, known.software, age});
         }
     }
--- a/src/rollout/evidence.cpp
+++ b/src/rollout/evidence.cpp
@@ -105,6 +105,16 @@
     return out;
 }
 
+std::vector<version_id> evidence_pool::versions() const
+{
+    std::vector<version_id> out;
+    out.reserve(counts_.size());
+    for (const auto& [version, processes] : counts_) {
+        out.push_back(version);
+    }
+    return out;
+}
+
 std::vector<evidence_entry> evidence_pool::entries() const
 {
     std::vector<evidence_entry> out;
--- a/src/rollout/evidence.hpp
+++ b/src/rollout/evidence.hpp
@@ -43,6 +43,8 @@
 public:
     void set(const process_id& from, const version_id& version, const version_counts& counts);
     [[nodiscard]] version_counts total(const version_id& version) const;
+    /// Every version with counts.
+    [[nodiscard]] std::vector<version_id> versions() const;
     /// Everything known, for passing on.
     [[nodiscard]] std::vector<evidence_entry> entries() const;
 
