--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -120,7 +120,7 @@
     model_ladder_settings models{};
     retry_settings retry{};
     /// Bills go to the store in batches; each call there has its price.
-    bill_buffer_settings bills{.append_interval = 5s};
+    bill_buffer_settings bills{.append_interval = 5s, .append_retry = 4s};
     double prefill_cost{0.06}; ///< money units for reading 1000 prompt tokens
     std::size_t prefix_entries{std::size_t{16} * 1024};
     std::uint64_t seed{1};
@@ -156,6 +156,8 @@
     [[nodiscard]] bool must_read(followed_stream stream, time_point now) const;
     /// Until this VM reads the stream itself, unless another VM confirms it; see reading_schedule.
     [[nodiscard]] duration until_read(followed_stream stream, time_point now) const;
+    /// Pause of this VM after `failures` reads of the store in a row that failed, at least 1.
+    [[nodiscard]] duration until_retry(unsigned failures, time_point now) const;
     void set_bounds(duration key_validity, duration certain_refusal);
     replica_directory& replicas() { return directory_; }
     rollout_board& rollouts() { return rollouts_; }
--- a/src/proxy/proxy_core_beliefs.cpp
+++ b/src/proxy/proxy_core_beliefs.cpp
@@ -74,6 +74,11 @@
                                 now - view(stream).confirmed_at);
 }
 
+duration proxy_core::until_retry(unsigned failures, time_point now) const
+{
+    return schedule_.until_retry(peers_.member_rank(stopping_, now), failures);
+}
+
 bool proxy_core::speaks(time_point now) const
 {
     return peers_.member_rank(stopping_, now) == 0;
