Count no unreachable replica as evidence against its software

Few requests reach the new version on trial, so that failed connections to its crashed replicas weigh far more there than in the baseline. Ruled out: the store (status stored at once), late orders (known within 0.9 s).

Change: a failed connection is a matter of membership and no evidence; a request that the replica breaks off still is. The test fails without the change (2 errors counted instead of 1).

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -241,7 +241,8 @@
             run_ = failure.run;
         }
     }
-    if (placed_) {
+    // A replica that cannot be reached says nothing about its software.
+    if (placed_ && failure.code != error_code::upstream_connect_failed) {
         core_.note_answer(*admitted_, *placed_, true, false);
     }
     end_attempt(attempt_result::failed, now);
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -308,6 +308,24 @@
     EXPECT_LE(sends_made - requests, 0.8 * requests + 5);
 }
 
+TEST_F(request_flow_test, replica_that_cannot_be_reached_is_no_evidence_against_its_software)
+{
+    at_.core.rollouts().order({"engine", "v2", 20s}, now());
+    const auto errors = [this] {
+        std::uint64_t out = 0;
+        for (const auto& it : at_.core.make_report(report_scope::vm, now()).evidence) {
+            out += it.group.value.ends_with("#") ? it.counts.errors : 0;
+        }
+        return out;
+    };
+    start("/report/1");
+    step_ = flow_->on_failure(unconnected, now());
+    EXPECT_EQ(errors(), 0U) << "A crashed replica is a matter of membership.";
+    ASSERT_TRUE(sends());
+    step_ = flow_->on_failure(reset, now());
+    EXPECT_EQ(errors(), 1U) << "Software that breaks off a request may be at fault.";
+}
+
 /// Whatever the replicas do: at most one of them gets a non-idempotent request, unless it said that
 /// it did not run it; no replica gets it twice; and a refusal that promises "not run" is true.
 RC_GTEST_PROP(request_flow_property, promises_hold_over_random_histories, ())
