--- a/src/proxy/reading_schedule.cpp
+++ b/src/proxy/reading_schedule.cpp
@@ -21,8 +21,7 @@
 duration reading_schedule::until_retry(std::size_t rank, unsigned failures) const
 {
     constexpr unsigned most_doublings = 16;
-    const duration doubled =
-        settings_.first_retry * (1U << std::min(failures - 1, most_doublings));
+    const duration doubled = settings_.first_retry * (1U << std::min(failures - 1, most_doublings));
     const duration own = std::min(settings_.longest_retry, doubled);
     return std::min(settings_.longest_later_retry, own * static_cast<int>(rank + 1));
 }
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -1,5 +1,6 @@
 #include "child_process.hpp"
 
+#include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -26,9 +27,15 @@
     std::filesystem::remove_all(root_, ignored);
 }
 
-child_process::child_process(const std::string& program, const std::vector<std::string>& arguments)
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments,
+                             const std::string& output_file)
 {
-    // Everything is allocated before the fork: the child only calls execv.
+    const int output =
+        output_file.empty() ? -1 : ::open(output_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    if (!output_file.empty() && output < 0) {
+        throw std::runtime_error{"The file " + output_file + " could not be opened."};
+    }
+    // Everything is allocated before the fork: the child only makes system calls.
     std::vector<std::string> words{program};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> argv;
@@ -42,9 +49,15 @@
         throw std::runtime_error{"The program " + program + " could not be started."};
     }
     if (pid_ == 0) {
+        if (output >= 0) {
+            ::dup2(output, STDOUT_FILENO);
+        }
         ::execv(argv[0], argv.data());
         ::_exit(127);
     }
+    if (output >= 0) {
+        ::close(output);
+    }
 }
 
 child_process::~child_process()
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -35,8 +35,10 @@
 /// Killed at the end of its life if it still runs.
 class child_process {
 public:
-    /// Throws std::runtime_error when the program cannot be started.
-    child_process(const std::string& program, const std::vector<std::string>& arguments);
+    /// Standard output is appended to `output_file` unless that is empty. Throws
+    /// std::runtime_error when the program cannot be started.
+    child_process(const std::string& program, const std::vector<std::string>& arguments,
+                  const std::string& output_file = {});
     ~child_process();
     child_process(const child_process&) = delete;
     child_process& operator=(const child_process&) = delete;
