Fetch missed records from other VMs, so that a VM without the store goes on

Change: each VM keeps the newest record of each key of both streams and serves them to others (/records/STREAM/FROM at its report address); a VM that is behind a member, or the speaker behind another domain, fetches what it misses, or all keys after a gap that may hide dropped ones, and reads the store itself only when that fails. A VM that starts without the store gets everything this way.

--- /dev/null
+++ b/src/net/proxy/record_fetch.cpp
@@ -0,0 +1,82 @@
+#include "net/proxy/record_fetch.hpp"
+
+#include <charconv>
+#include <memory>
+#include <utility>
+
+namespace wagtailhitch {
+
+namespace {
+
+constexpr std::string_view path_prefix = "/records/";
+/// A VM answers from memory; half a second covers the way between regions and a busy VM.
+constexpr duration answer_timeout = 500ms;
+/// Above the newest records of 4,000 replicas.
+constexpr std::size_t answer_limit = std::size_t{4} * 1024 * 1024;
+
+} // namespace
+
+std::string records_path(std::string_view stream, log_offset from)
+{
+    return std::string{path_prefix} + std::string{stream} + "/" + std::to_string(from);
+}
+
+std::optional<records_query> parse_records_path(std::string_view path)
+{
+    if (!path.starts_with(path_prefix)) {
+        return std::nullopt;
+    }
+    path.remove_prefix(path_prefix.size());
+    const auto slash = path.find('/');
+    if (slash == std::string_view::npos) {
+        return std::nullopt;
+    }
+    records_query out;
+    out.stream = path.substr(0, slash);
+    const std::string_view number = path.substr(slash + 1);
+    const auto* const end = number.data() + number.size();
+    const auto [rest, ec] = std::from_chars(number.data(), end, out.from);
+    if (ec != std::errc{} || rest != end) {
+        return std::nullopt;
+    }
+    return out;
+}
+
+void fetch_records(detail::http_client& client, const std::string& address, std::string_view stream,
+                   log_offset from, std::function<void(expected<relayed_records>)> done)
+{
+    struct reply {
+        unsigned status{0};
+        std::string body;
+    };
+    const auto collected = std::make_shared<reply>();
+    detail::http_call call;
+    call.address = address;
+    call.target = records_path(stream, from);
+    call.first_byte_timeout = answer_timeout;
+    call.progress_timeout = answer_timeout;
+    call.body_limit = answer_limit;
+    detail::http_hooks hooks;
+    hooks.on_header = [collected](const detail::answer_head& head) {
+        collected->status = head.status;
+    };
+    hooks.on_data = [collected](std::string_view bytes) { collected->body.append(bytes); };
+    hooks.on_end = [collected, address, &client,
+                    done = std::move(done)](const detail::call_failure* failure) {
+        if (failure != nullptr) {
+            client.forget(address);
+        }
+        if (failure != nullptr || collected->status != 200) {
+            const std::string why = failure != nullptr
+                                        ? failure->detail
+                                        : "Status " + std::to_string(collected->status);
+            done(tl::unexpected(error{
+                error_code::log_unavailable, step::peer, address, run_state::not_run, why, {}}));
+            return;
+        }
+        done(decode_relayed_records(collected->body));
+    };
+    client.start(std::move(call), std::move(hooks));
+}
+
+} // namespace wagtailhitch
--- a/src/proxy/domain_reports_test.cpp
+++ b/src/proxy/domain_reports_test.cpp
@@ -123,8 +123,10 @@
     {
         const time_point now = clock_.now();
         (void)it.core->tick(now);
-        if (it.core->must_read(followed_stream::operators, now) ||
-            it.core->until_read(followed_stream::operators, now) <= 0s) {
+        if (it.core->ahead(followed_stream::operators, now)) {
+            learn(it, stored_);
+        }
+        if (it.core->until_read(followed_stream::operators, now) <= 0s) {
             read(it);
         }
         if (now >= it.next_report) {
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -21,6 +21,15 @@
 
 namespace wagtailhitch {
 
+/// Streams of the store that every VM keeps up with.
+enum class followed_stream { operators, replicas };
+
+template<>
+inline constexpr auto enum_names<followed_stream> = name_table<followed_stream, 2>{{
+    {followed_stream::operators, "operators"},
+    {followed_stream::replicas, "replicas"},
+}};
+
 struct reported_load {
     upstream_id upstream;
     std::uint32_t in_flight{0}; ///< requests of the reporting VM, or of its domain in a digest
--- a/src/proxy/peer_table.cpp
+++ b/src/proxy/peer_table.cpp
@@ -247,22 +247,28 @@
     return members + static_cast<std::size_t>(domains);
 }
 
-bool peer_table::ahead_of(log_offset position, bool speaker, time_point now) const
+std::optional<std::string> peer_table::ahead_of(followed_stream stream, log_offset position,
+                                                bool speaker, time_point now) const
 {
-    const bool by_member = std::ranges::any_of(members_, [&](const auto& item) {
-        return is_live(item.second, now) && item.second.report.position > position;
-    });
-    return by_member ||
-           (speaker && std::ranges::any_of(domains_, [&](const auto& item) {
-                return is_live_domain(item.second, now) && item.second.report.position > position;
-            }));
-}
-
-bool peer_table::replicas_ahead_of(log_offset position, time_point now) const
-{
-    return std::ranges::any_of(members_, [&](const auto& item) {
-        return is_live(item.second, now) && item.second.report.replica_position > position;
-    });
+    const auto position_of = [stream](const peer_report& report) {
+        return stream == followed_stream::operators ? report.position : report.replica_position;
+    };
+    const peer_report* best = nullptr;
+    const auto consider = [&](const peer& item, bool is_candidate) {
+        const log_offset known = best == nullptr ? position : position_of(*best);
+        if (is_candidate && position_of(item.report) > known) {
+            best = &item.report;
+        }
+    };
+    for (const auto& [vm, item] : members_) {
+        consider(item, is_live(item, now));
+    }
+    if (best == nullptr && speaker) {
+        for (const auto& [domain, item] : domains_) {
+            consider(item, is_live_domain(item, now));
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional{best->address};
 }
 
 } // namespace wagtailhitch
--- a/src/proxy/peer_table.hpp
+++ b/src/proxy/peer_table.hpp
@@ -68,10 +68,10 @@
     [[nodiscard]] std::size_t member_rank(bool leaving, time_point now) const;
     /// Live VMs that act before this one where one of all VMs is enough.
     [[nodiscard]] std::size_t rank(bool leaving, time_point now) const;
-    /// A live member, or for the speaker another domain, has read the operators' records further.
-    [[nodiscard]] bool ahead_of(log_offset position, bool speaker, time_point now) const;
-    /// The same for the replicas' records.
-    [[nodiscard]] bool replicas_ahead_of(log_offset position, time_point now) const;
+    /// The live member that has read a stream furthest beyond `position`; for the speaker, in want
+    /// of such a member, another domain's speaker.
+    [[nodiscard]] std::optional<std::string> ahead_of(followed_stream stream, log_offset position,
+                                                      bool speaker, time_point now) const;
 
 private:
     struct peer {
--- a/src/proxy/peer_table_test.cpp
+++ b/src/proxy/peer_table_test.cpp
@@ -122,15 +122,20 @@
 TEST_F(peer_table_test, peer_that_read_further_is_noticed)
 {
     take("a", 1);
-    EXPECT_TRUE(table_.ahead_of(6, false, clock_.now()));
-    EXPECT_FALSE(table_.ahead_of(7, false, clock_.now()));
+    const auto ahead_of = [this](log_offset position, bool speaker) {
+        return table_.ahead_of(followed_stream::operators, position, speaker, clock_.now());
+    };
+    EXPECT_EQ(ahead_of(6, false), "a:1");
+    EXPECT_EQ(ahead_of(7, false), std::nullopt);
+    EXPECT_EQ(table_.ahead_of(followed_stream::replicas, 0, true, clock_.now()), std::nullopt);
     auto far = report("x", 1);
     far.scope = report_scope::domain;
     far.domain = failure_domain_id{"b"};
     far.position = 9;
     table_.take(far, clock_.now());
-    EXPECT_FALSE(table_.ahead_of(7, false, clock_.now())) << "The speaker reads for its domain.";
-    EXPECT_TRUE(table_.ahead_of(7, true, clock_.now()));
+    EXPECT_EQ(ahead_of(7, false), std::nullopt) << "The speaker asks for its domain.";
+    EXPECT_EQ(ahead_of(7, true), "x:1");
+    EXPECT_EQ(ahead_of(6, true), "a:1") << "Members come first.";
 }
 
 TEST_F(peer_table_test, reports_of_a_large_deployment_stay_bounded_and_peers_live_as_long)
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -13,6 +13,9 @@
 /// Requests above this multiple of a replica's slots wait longer there than a caller's retry takes.
 constexpr double overload = 2.0;
 constexpr duration shortest_retry_after = 100ms;
+/// A VM that starts knows the configuration after a few calls to the store, or two reports of its
+/// peers; a caller that returns sooner uses up its retry in vain.
+constexpr duration start_retry_after = 500ms;
 /// Part of the latency target, as its divisor, after which a caller that met overload may return.
 constexpr int overload_retry_parts = 4;
 /// Part of the latency target, as its divisor, that may pass until the first token before replicas
@@ -91,7 +94,8 @@
                                       "The VM is shutting down.", stop_retry_after));
     }
     if (!catalog_) {
-        return unready("No configuration is known yet.");
+        return tl::unexpected(refusal(error_code::not_ready, step::configure,
+                                      "No configuration is known yet.", start_retry_after));
     }
     const bool certain = configuration_age(now) <= settings_.certain_refusal;
     const proxy_route* route = catalog_->find_route(request.host, request.path);
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -126,9 +126,6 @@
     std::uint64_t seed{1};
 };
 
-/// Streams of the store that every VM keeps up with.
-enum class followed_stream { operators, replicas };
-
 struct readiness {
     bool ready{false};
     std::string reason; ///< why not
@@ -151,9 +148,11 @@
     void note_read(followed_stream stream, time_point asked_at);
     /// A replica announces software that may belong to a roll-out this VM has not read of yet.
     [[nodiscard]] bool has_unexplained_software() const;
-    /// The stream is to be read at once, since another VM has read further or what is known does
-    /// not explain the replicas.
-    [[nodiscard]] bool must_read(followed_stream stream, time_point now) const;
+    /// A replica's software is unexplained and this VM reads for its domain: the operators' records
+    /// are to be read at once.
+    [[nodiscard]] bool must_read_operators(time_point now) const;
+    /// Where to fetch records that another VM has and this one misses.
+    [[nodiscard]] std::optional<std::string> ahead(followed_stream stream, time_point now) const;
     /// Until this VM reads the stream itself, unless another VM confirms it; see reading_schedule.
     [[nodiscard]] duration until_read(followed_stream stream, time_point now) const;
     /// Pause of this VM after `failures` reads of the store in a row that failed, at least 1.
--- a/src/proxy/proxy_core_beliefs.cpp
+++ b/src/proxy/proxy_core_beliefs.cpp
@@ -58,14 +58,14 @@
     });
 }
 
-bool proxy_core::must_read(followed_stream stream, time_point now) const
+bool proxy_core::must_read_operators(time_point now) const
 {
-    const log_offset position = view(stream).read_to;
-    if (stream == followed_stream::replicas) {
-        return peers_.replicas_ahead_of(position, now);
-    }
-    const bool speaker = speaks(now);
-    return peers_.ahead_of(position, speaker, now) || (speaker && has_unexplained_software());
+    return speaks(now) && has_unexplained_software();
+}
+
+std::optional<std::string> proxy_core::ahead(followed_stream stream, time_point now) const
+{
+    return peers_.ahead_of(stream, view(stream).read_to, speaks(now), now);
 }
 
 duration proxy_core::until_read(followed_stream stream, time_point now) const
--- a/src/proxy/relayed_records.cpp
+++ b/src/proxy/relayed_records.cpp
@@ -22,8 +22,8 @@
     for (const auto& it : records.records) {
         items.push_back({it.key, json::binary({it.value.begin(), it.value.end()}), it.offset});
     }
-    return encode_msgpack(json::array(
-        {message_kind, records.stream, records.complete_from, records.next, std::move(items)}));
+    return encode_msgpack(json::array({message_kind, records.stream, records.complete_from,
+                                       records.next, records.snapshot, std::move(items)}));
 }
 
 expected<relayed_records> decode_relayed_records(std::string_view data)
@@ -38,6 +38,7 @@
     out.stream = in.text();
     out.complete_from = in.number();
     out.next = in.number();
+    out.snapshot = in.flag();
     for (const auto& item : in.array()) {
         const bool shaped = item.is_array() && item.size() >= 3 && item[0].is_string() &&
                             item[1].is_binary() && item[2].is_number_unsigned();
--- a/src/proxy/relayed_records.hpp
+++ b/src/proxy/relayed_records.hpp
@@ -7,8 +7,8 @@
 #include <string_view>
 #include <vector>
 
-// Records that one VM has read from a stream of the store, passed on to the members of its failure
-// domain, so that a change costs one read for each domain.
+// Records that one VM has read from a stream of the store, passed on to other VMs, so that a change
+// costs one read for each failure domain and VMs that the store turns away learn of it.
 //
 //   std::string data = encode_relayed_records(records);
 //   expected<relayed_records> records = decode_relayed_records(data);
@@ -27,7 +27,8 @@
     std::string stream;
     /// A receiver that has read up to here or further misses nothing by taking these records.
     log_offset complete_from{0};
-    log_offset next{0}; ///< where the following read begins
+    log_offset next{0};   ///< where the following read begins
+    bool snapshot{false}; ///< the newest record of every key; other keys were dropped
     std::vector<relayed_record> records;
 
     friend bool operator==(const relayed_records&, const relayed_records&) = default;
--- a/src/proxy/relayed_records_test.cpp
+++ b/src/proxy/relayed_records_test.cpp
@@ -8,7 +8,7 @@
 
 relayed_records sample()
 {
-    return {"replicas", 40, 44, {{"r-1", std::string{"\x00{\xff", 3}, 41}, {"r-2", "", 43}}};
+    return {"replicas", 40, 44, true, {{"r-1", std::string{"\x00{\xff", 3}, 41}, {"r-2", "", 43}}};
 }
 
 TEST(relayed_records_test, records_survive_their_encoding)
