--- a/src/proxy/relayed_records.cpp
+++ b/src/proxy/relayed_records.cpp
@@ -26,6 +26,13 @@
                                        records.next, records.snapshot, std::move(items)}));
 }
 
+// The header of a short array, then the kind as a short string.
+bool is_relayed_records(std::string_view data)
+{
+    constexpr std::size_t kind_at = 2;
+    return data.size() > kind_at && data.substr(kind_at).starts_with(message_kind);
+}
+
 expected<relayed_records> decode_relayed_records(std::string_view data)
 {
     const auto value = decode_msgpack(data, step::peer, message_name);
