Tell members at once of sessions that stay on the old software

A session that began before the roll-out and that the trial would expose stays on the old version; with 15 members its next request mostly reaches another one, which may not have the next report yet (0.3 s, on ticks of 0.2 s).

The hook is tested; the race itself is seen on the bench only.

--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -345,11 +345,23 @@
     out.on_trial = rollout != nullptr && rollout->order().target == out.software &&
                    rollout->state() == rollout_state::running;
     if (!request.session.empty()) {
-        sessions_.remember(hash64(request.session), out.software, now, session_source::self);
+        remember_session(hash64(request.session), out, rollout, now);
     }
     return out;
 }
 
+void proxy_core::remember_session(std::uint64_t session, const placement& placed,
+                                  const service_rollout* rollout, time_point now)
+{
+    sessions_.remember(session, placed.software, now, session_source::self);
+    const bool kept_back = rollout != nullptr && rollout->state() == rollout_state::running &&
+                           rollout->order().target != placed.software &&
+                           service_rollout::exposes(session, settings_.rollout);
+    if (kept_back && urgent_report_) {
+        urgent_report_();
+    }
+}
+
 void proxy_core::finish(const placement& placed, const attempt_outcome& outcome, time_point now)
 {
     if (pool_.finish(placed.ticket, outcome, now)) {
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -17,6 +17,7 @@
 #include "routing/replica_pool.hpp"
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -225,6 +226,9 @@
     }
     [[nodiscard]] std::size_t live_peers(time_point now) const { return peers_.live(now); }
     [[nodiscard]] std::mt19937_64& generator() { return generator_; }
+    /// Called when the members should hear at once what the next report says: a session that a
+    /// trial would expose stays on its old software, and its next request may reach another VM.
+    void on_urgent_report(std::function<void()> hook) { urgent_report_ = std::move(hook); }
 
 private:
     [[nodiscard]] error refusal(error_code code, step at, std::string detail,
@@ -252,6 +256,8 @@
     retry_budget& budget_of(const std::string& service, time_point now);
     /// This VM's part of the slack in the repeats of all VMs.
     [[nodiscard]] double repeat_capacity() const;
+    void remember_session(std::uint64_t session, const placement& placed,
+                          const service_rollout* rollout, time_point now);
     void refresh_pool(time_point now);
     void refresh_loads(time_point now);
     void judge_rollouts(time_point now);
@@ -289,6 +295,7 @@
     rollout_board rollouts_;
     peer_table peers_;
     session_memory sessions_;
+    std::function<void()> urgent_report_;
     std::uint64_t report_sequence_{0};
     std::array<time_point, 32> reports_made_at_{}; ///< by sequence, the newest ones
 };
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -203,6 +203,29 @@
     }
 }
 
+TEST_F(proxy_core_test, members_hear_at_once_of_sessions_that_a_trial_leaves_on_the_old_software)
+{
+    int urgent = 0;
+    at_.core.on_urgent_report([&urgent] { ++urgent; });
+    std::vector<std::string> sessions;
+    for (int i = 0; i < 300; ++i) {
+        sessions.push_back("s" + std::to_string(i));
+        software_for(sessions.back());
+    }
+    EXPECT_EQ(urgent, 0) << "Without a roll-out nothing is urgent.";
+    order_rollout();
+    for (const auto& session : sessions) {
+        EXPECT_EQ(software_for(session), "v1");
+    }
+    EXPECT_GT(urgent, 0);
+    EXPECT_LT(urgent, 45) << "Only sessions that the trial would expose are urgent.";
+    const int before = urgent;
+    for (int i = 0; i < 300; ++i) {
+        software_for("new" + std::to_string(i));
+    }
+    EXPECT_EQ(urgent, before) << "Every VM chooses the same for a new session.";
+}
+
 TEST_F(proxy_core_test, halted_version_gets_nothing_on_any_vm_that_hears_of_it)
 {
     order_rollout();
