--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,8 +1,10 @@
 #include "cli/commands.hpp"
 #include "platform/command.hpp"
 
+#include <csignal>
 #include <exception>
 #include <iostream>
+#include <string_view>
 
 namespace {
 
@@ -12,11 +14,21 @@
     "5 the log or a VM does not answer (submit: nothing was submitted); 100 or more: wrong "
     "command line.";
 
+/// SIGHUP means a reload to a VM of the platform. It must not end the process before its handler is
+/// set.
+void ignore_reloads_until_handled(int argc, char** argv)
+{
+    if (argc > 1 && std::string_view{argv[1]} == wagtailhitch::platform::serve_command) {
+        std::signal(SIGHUP, SIG_IGN);
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
     using namespace wagtailhitch::cli;
+    ignore_reloads_until_handled(argc, argv);
     CLI::App app{"wagtailhitch: a model-aware router for versions and cascades"};
     app.footer(exit_status_help);
     app.require_subcommand(1);
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -62,7 +62,7 @@
 
 child_process::~child_process()
 {
-    if (pid_ > 0) {
+    if (!ended()) {
         ::kill(pid_, SIGKILL);
         wait();
     }
@@ -70,17 +70,28 @@
 
 void child_process::send_signal(int number) const
 {
-    if (pid_ > 0) {
+    if (!status_) {
         ::kill(pid_, number);
     }
 }
 
+bool child_process::ended()
+{
+    int status = 0;
+    if (!status_ && ::waitpid(pid_, &status, WNOHANG) == pid_) {
+        status_ = status;
+    }
+    return status_.has_value();
+}
+
 int child_process::wait()
 {
     int status = 0;
-    ::waitpid(pid_, &status, 0);
-    pid_ = -1;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    if (!status_ && ::waitpid(pid_, &status, 0) == pid_) {
+        status_ = status;
+    }
+    const int end = status_.value_or(0);
+    return WIFEXITED(end) ? WEXITSTATUS(end) : -WTERMSIG(end);
 }
 
 std::uint16_t wait_for_port(const std::string& port_file)
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,11 +45,14 @@
     child_process& operator=(const child_process&) = delete;
 
     void send_signal(int number) const;
+    /// Whether the process has ended by itself or by a signal.
+    [[nodiscard]] bool ended();
     /// Returns the exit code, or minus the number of the signal that ended the process.
     int wait();
 
 private:
     int pid_{-1};
+    std::optional<int> status_; ///< as waitpid() reports it, once the process has ended
 };
 
 /// Waits until the program has written its port. Throws std::runtime_error after 20 s.
