Append the bills of a failure domain through one writer

Change: a VM submits its bills every second to the first live member of its domain, which appends those of all members every 5 s and tells them; it keeps them until then, so that the loss of either VM loses only bills of the last second (5 s before). Lost messages are repeated, a writer that stores nothing for 20 s is bypassed, a stopping VM appends at once. The existing bill_writer does the combining. Ruled out: longer intervals for each VM, which lose more bills with a VM.

--- a/src/billing/bill_buffer.cpp
+++ b/src/billing/bill_buffer.cpp
@@ -139,6 +139,13 @@
     }
 }
 
+void bill_buffer::append_again()
+{
+    for (auto& [id, append] : appends_) {
+        append.again_at = {};
+    }
+}
+
 void bill_buffer::on_stream(std::string_view data, std::vector<bill_output>& out)
 {
     const auto bills = decode_bill_batch(data);
--- a/src/billing/bill_buffer.hpp
+++ b/src/billing/bill_buffer.hpp
@@ -99,6 +99,8 @@
     /// Reply to an append. A failure may have taken effect; the same record is appended again.
     void on_append_result(std::uint64_t id, bool stored, time_point now,
                           std::vector<bill_output>& out);
+    /// Appends without a reply are repeated at once, because they go to another place now.
+    void append_again();
     /// A record was read from the stream: its bills need no further work here.
     void on_stream(std::string_view data, std::vector<bill_output>& out);
 
--- a/src/billing/bill_writer.cpp
+++ b/src/billing/bill_writer.cpp
@@ -42,7 +42,7 @@
         sent_->again_at = now + settings_.reply_timeout;
         return bill_append{sent_->id, sent_->data};
     }
-    if (queue_.empty() || now < next_append_) {
+    if (queue_.empty() || (now < next_append_ && !stopping_)) {
         return std::nullopt;
     }
     return next_record(now);
--- a/src/billing/bill_writer.hpp
+++ b/src/billing/bill_writer.hpp
@@ -51,6 +51,9 @@
     /// again to the new writer, and bills that reach the log twice count once.
     std::optional<bill_append> due(time_point now, bool authority);
 
+    /// A graceful shutdown: what is queued is appended without waiting for the interval.
+    void begin_stop() { stopping_ = true; }
+
     /// Reply to an append; the submissions that are on the stream now.
     std::vector<bill_submission> on_result(std::uint64_t id, bool stored, time_point now);
 
@@ -78,6 +81,7 @@
     std::uint64_t next_id_{1};
     time_point next_append_{};
     std::size_t queued_bytes_{0};
+    bool stopping_{false};
 };
 
 } // namespace wagtailhitch
--- /dev/null
+++ b/src/proxy/datagram.cpp
@@ -0,0 +1,30 @@
+#include "proxy/datagram.hpp"
+
+#include <string>
+
+namespace wagtailhitch {
+
+namespace {
+
+/// MessagePack's header of a string of up to 31 bytes.
+constexpr unsigned char short_string = 0xa0;
+/// After the header of an array of up to 15 elements.
+constexpr std::size_t kind_at = 1;
+
+} // namespace
+
+datagram_kind kind_of_datagram(std::string_view data)
+{
+    for (const auto kind :
+         {datagram_kind::records, datagram_kind::bills, datagram_kind::stored_bills}) {
+        const std::string_view name = name_of(kind);
+        std::string field(1, static_cast<char>(short_string | name.size()));
+        field += name;
+        if (data.size() > kind_at && data.substr(kind_at).starts_with(field)) {
+            return kind;
+        }
+    }
+    return datagram_kind::report;
+}
+
+} // namespace wagtailhitch
--- a/src/proxy/peer_table.cpp
+++ b/src/proxy/peer_table.cpp
@@ -238,6 +238,16 @@
     }));
 }
 
+std::optional<std::string> peer_table::speaker_address(bool leaving, time_point now) const
+{
+    for (const auto& [vm, item] : members_) {
+        if (is_live(item, now) && !item.report.leaving && (leaving || vm < settings_.self.vm)) {
+            return item.report.address;
+        }
+    }
+    return std::nullopt;
+}
+
 std::size_t peer_table::rank(bool leaving, time_point now) const
 {
     const std::size_t members = member_rank(leaving, now);
--- a/src/proxy/peer_table.hpp
+++ b/src/proxy/peer_table.hpp
@@ -65,6 +65,8 @@
     [[nodiscard]] std::map<upstream_id, std::uint32_t> loads(time_point now) const;
     /// Live members that stay and come before this VM: those with earlier names, or all when this
     /// VM leaves.
+    /// Where the first live member that stays takes messages; nothing when it is this VM.
+    [[nodiscard]] std::optional<std::string> speaker_address(bool leaving, time_point now) const;
     [[nodiscard]] std::size_t member_rank(bool leaving, time_point now) const;
     /// Live VMs that act before this one where one of all VMs is enough.
     [[nodiscard]] std::size_t rank(bool leaving, time_point now) const;
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -63,7 +63,7 @@
       schedule_{settings_.reading}, directory_{settings_.directory, settings_.regions},
       pool_{settings_.pool}, chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
       link_{{.bytes_per_second = settings_.link_bytes_per_second}, now}, retries_{settings_.retry},
-      models_{settings_.models}, bills_{settings_.self, settings_.bills},
+      models_{settings_.models}, bills_{settings_.self, settings_.report_address, settings_.bills},
       rollouts_{settings_.self, settings_.rollout}, peers_{{settings_.self,
                                                             settings_.report_address,
                                                             settings_.failure_domain,
@@ -408,23 +408,10 @@
     bills_.add({id, admitted.team, outcome, std::move(lines)}, now);
 }
 
-std::vector<bill_append> proxy_core::take_bill_appends(time_point now)
+std::vector<domain_bill_step> proxy_core::take_bill_steps(time_point now)
 {
-    std::vector<bill_append> out;
-    for (auto& step : bills_.tick(now)) {
-        // Without copy-holders the buffer puts out releases besides, which hold nothing back here.
-        if (auto* append = std::get_if<bill_append>(&step)) {
-            out.push_back(std::move(*append));
-        }
-    }
     counters_.level("bill_buffer_bytes").set(static_cast<double>(bills_.bytes()));
-    return out;
-}
-
-void proxy_core::on_bills_appended(std::uint64_t id, bool stored, time_point now)
-{
-    std::vector<bill_output> ignored;
-    bills_.on_append_result(id, stored, now, ignored);
+    return bills_.tick(peers_.speaker_address(stopping_, now), now);
 }
 
 void proxy_core::note_answer(const admission& admitted, const placement& placed, bool failed,
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -2,8 +2,8 @@
 
 #include "base/error.hpp"
 #include "base/metrics.hpp"
-#include "billing/bill_buffer.hpp"
 #include "proxy/catalog.hpp"
+#include "proxy/domain_bills.hpp"
 #include "proxy/model_ladder.hpp"
 #include "proxy/peer_table.hpp"
 #include "proxy/reading_schedule.hpp"
@@ -120,8 +120,7 @@
     service_rollout_settings rollout{};
     model_ladder_settings models{};
     retry_settings retry{};
-    /// Bills go to the store in batches; each call there has its price.
-    bill_buffer_settings bills{.append_interval = 5s, .append_retry = 4s};
+    domain_bill_settings bills{};
     double prefill_cost{0.06}; ///< money units for reading 1000 prompt tokens
     std::size_t prefix_entries{std::size_t{16} * 1024};
     std::uint64_t seed{1};
@@ -187,12 +186,9 @@
     /// Records the one bill of a request; without lines nothing ran and nothing is billed.
     void add_bill(const admission& admitted, bill_outcome outcome, std::vector<bill_line> lines,
                   time_point now);
-    /// Batches of bills that are due to be appended to the stream of bills.
-    std::vector<bill_append> take_bill_appends(time_point now);
-    /// Reply to an append; a failed one is repeated by take_bill_appends().
-    void on_bills_appended(std::uint64_t id, bool stored, time_point now);
-    /// Every bill is on the stream.
-    [[nodiscard]] bool bills_drained() const { return bills_.drained(); }
+    domain_bills& bills() { return bills_; }
+    /// Appends to the stream of bills and messages to other VMs that are due.
+    std::vector<domain_bill_step> take_bill_steps(time_point now);
     /// What one model's answer costs.
     [[nodiscard]] bill_line bill_line_of(const admission& admitted, const placement& placed,
                                          std::uint64_t prompt_tokens,
@@ -289,7 +285,7 @@
     link_budget link_;
     retry_policy retries_;
     model_ladder models_;
-    bill_buffer bills_;
+    domain_bills bills_;
     std::uint64_t next_bill_{1};
     std::map<std::string, retry_budget> budgets_;
     rollout_board rollouts_;
--- a/src/proxy/relayed_records.cpp
+++ b/src/proxy/relayed_records.cpp
@@ -1,6 +1,7 @@
 #include "proxy/relayed_records.hpp"
 
 #include "base/msgpack.hpp"
+#include "proxy/datagram.hpp"
 
 #include <utility>
 
@@ -11,8 +12,7 @@
 using nlohmann::json;
 
 constexpr std::string_view message_name = "relayed records";
-/// First field; tells the message from a peer report.
-constexpr std::string_view message_kind = "records";
+constexpr std::string_view message_kind = name_of(datagram_kind::records);
 
 } // namespace
 
@@ -26,13 +26,6 @@
                                        records.next, records.snapshot, std::move(items)}));
 }
 
-// The header of a short array, then the kind as a short string.
-bool is_relayed_records(std::string_view data)
-{
-    constexpr std::size_t kind_at = 2;
-    return data.size() > kind_at && data.substr(kind_at).starts_with(message_kind);
-}
-
 expected<relayed_records> decode_relayed_records(std::string_view data)
 {
     const auto value = decode_msgpack(data, step::peer, message_name);
--- a/src/proxy/relayed_records.hpp
+++ b/src/proxy/relayed_records.hpp
@@ -35,8 +35,6 @@
 };
 
 std::string encode_relayed_records(const relayed_records& records);
-/// Tells the message from other datagrams by its first bytes.
-bool is_relayed_records(std::string_view data);
 /// Errors: malformed_request.
 expected<relayed_records> decode_relayed_records(std::string_view data);
 
--- a/src/proxy/relayed_records_test.cpp
+++ b/src/proxy/relayed_records_test.cpp
@@ -1,4 +1,3 @@
-#include "proxy/peer_report.hpp"
 #include "proxy/relayed_records.hpp"
 
 #include <gtest/gtest.h>
@@ -21,9 +20,6 @@
 
 TEST(relayed_records_test, other_messages_are_rejected)
 {
-    EXPECT_TRUE(is_relayed_records(encode_relayed_records(sample())));
-    EXPECT_FALSE(is_relayed_records(encode_peer_report({})));
-    EXPECT_FALSE(is_relayed_records(""));
     EXPECT_FALSE(decode_relayed_records("").has_value());
     EXPECT_FALSE(decode_relayed_records("\x91\x02").has_value());
 }
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -69,8 +69,8 @@
     {
         at_.clock.advance(6s);
         std::vector<bill> out;
-        for (const auto& batch : at_.core.take_bill_appends(now())) {
-            const auto bills = decode_bill_batch(batch.data);
+        for (const auto& step : at_.core.take_bill_steps(now())) {
+            const auto bills = decode_bill_batch(std::get<bill_append>(step).data);
             EXPECT_TRUE(bills.has_value());
             out.insert(out.end(), bills->begin(), bills->end());
         }
@@ -281,15 +281,15 @@
     step_ = flow_->on_head(answered, now());
     flow_->on_end(now());
     at_.clock.advance(6s);
-    const auto first = at_.core.take_bill_appends(now());
+    const auto first = at_.core.take_bill_steps(now());
     ASSERT_EQ(first.size(), 1U);
-    at_.core.on_bills_appended(first[0].id, false, now());
+    at_.core.bills().on_appended(std::get<bill_append>(first[0]).id, false, now());
     at_.clock.advance(6s);
-    const auto second = at_.core.take_bill_appends(now());
+    const auto second = at_.core.take_bill_steps(now());
     ASSERT_EQ(second.size(), 1U);
-    EXPECT_EQ(second[0].data, first[0].data);
-    at_.core.on_bills_appended(second[0].id, true, now());
-    EXPECT_TRUE(at_.core.bills_drained());
+    EXPECT_EQ(std::get<bill_append>(second[0]).data, std::get<bill_append>(first[0]).data);
+    at_.core.bills().on_appended(std::get<bill_append>(second[0]).id, true, now());
+    EXPECT_TRUE(at_.core.bills().drained());
 }
 
 TEST_F(request_flow_test, retry_budget_bounds_what_a_failing_service_receives)
