Compare streams of a version on trial by their pauses

Change: outlasted patience counts as slow, not as failed; a stream is slow when the mean pause between its events exceeds 1.4 of what is usual for established software (measured: 75 to 130 ms against 18 to 26 ms of a good version and about 50 ms of the old one); slow answers halt from a difference of 0.3 on, because first tokens of a good version are late while its caches fill. Ruled out: first token against its prediction (10 to 16 in 100 of sound answers exceed it fourfold).

--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -414,10 +414,10 @@
     return bills_.tick(peers_.speaker_address(stopping_, now), now);
 }
 
-void proxy_core::note_answer(const admission& admitted, const placement& placed, bool failed,
-                             bool slow)
+void proxy_core::note_answer(const admission& admitted, const placement& placed,
+                             const answer_quality& quality)
 {
-    rollouts_.note_answer(placed.version, admitted.route->name, failed, slow);
+    rollouts_.note_answer({admitted.service, placed.software, admitted.route->name, quality});
 }
 
 } // namespace wagtailhitch
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -196,7 +196,8 @@
     /// Ends what place() began.
     void finish(const placement& placed, const attempt_outcome& outcome, time_point now);
     /// A complete answer or a failure at the upstream, as evidence for its software.
-    void note_answer(const admission& admitted, const placement& placed, bool failed, bool slow);
+    void note_answer(const admission& admitted, const placement& placed,
+                     const answer_quality& quality);
     [[nodiscard]] retry_decision decide_retry(const admission& admitted,
                                               const failed_attempt& failure, time_point now);
     /// Whether an answer that a model gave with this confidence goes to the caller; if not, the
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -173,7 +173,7 @@
         history_.model_fixed = true;
         return relay_step{};
     }
-    core_.note_answer(*admitted_, *placed_, false, slow(now));
+    core_.note_answer(*admitted_, *placed_, {.slow = slow(now)});
     first_event_at_ = now;
     end_attempt(attempt_result::succeeded, now);
     history_.model = larger;
@@ -195,6 +195,7 @@
     if (!first_event_at_) {
         first_event_at_ = now;
     }
+    last_event_at_ = now;
     answer_begun_ = true;
     ++events_;
     if (id) {
@@ -216,6 +217,14 @@
     return took > scale(admitted_->route->target_latency, slow_share);
 }
 
+std::optional<duration> request_flow::pause_of_events() const
+{
+    if (events_ < 2) {
+        return std::nullopt;
+    }
+    return (last_event_at_ - *first_event_at_) / static_cast<std::int64_t>(events_ - 1);
+}
+
 void request_flow::end_attempt(attempt_result result, time_point now)
 {
     if (!placed_) {
@@ -241,9 +250,11 @@
             run_ = failure.run;
         }
     }
-    // A replica that cannot be reached says nothing about its software.
+    // A replica that cannot be reached says nothing about its software. One that lets the patience
+    // for it pass may be loaded: it is slow and has not failed.
     if (placed_ && failure.code != error_code::upstream_connect_failed) {
-        core_.note_answer(*admitted_, *placed_, true, false);
+        const bool silent = failure.code == error_code::upstream_timeout;
+        core_.note_answer(*admitted_, *placed_, {.failed = !silent, .slow = silent});
     }
     end_attempt(attempt_result::failed, now);
     return retry(failure, now);
@@ -294,7 +305,9 @@
 void request_flow::on_end(time_point now)
 {
     if (placed_) {
-        core_.note_answer(*admitted_, *placed_, failing_, slow(now));
+        core_.note_answer(
+            *admitted_, *placed_,
+            {.failed = failing_, .slow = slow(now), .pause_of_events = pause_of_events()});
     }
     end_attempt(failing_ ? attempt_result::failed : attempt_result::succeeded, now);
     bill_request(failing_ ? bill_outcome::cancelled : bill_outcome::answered, now);
@@ -319,7 +332,7 @@
         run_ = run_state::outcome_unknown;
     }
     if (placed_ && !head_seen_) {
-        core_.note_answer(*admitted_, *placed_, false, true);
+        core_.note_answer(*admitted_, *placed_, {.slow = true});
     }
     end_attempt(head_seen_ ? attempt_result::cancelled : attempt_result::failed, now);
     return give_up(error{error_code::upstream_timeout,
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -103,6 +103,8 @@
     flow_step accept_or_escalate(const replica_head& head, time_point now);
     flow_step refused_by_replica(const attempt_failure& failure, time_point now);
     [[nodiscard]] bool slow(time_point now) const;
+    /// Mean time between the events of the attempt under way.
+    [[nodiscard]] std::optional<duration> pause_of_events() const;
     void end_attempt(attempt_result result, time_point now);
     void bill_request(bill_outcome outcome, time_point now);
     [[nodiscard]] duration head_timeout() const;
@@ -118,6 +120,7 @@
     std::uint32_t arrivals_{0};         ///< at replicas, also at those that refused
     time_point sent_at_;
     std::optional<time_point> first_event_at_; ///< of the attempt under way
+    time_point last_event_at_;                 ///< of the attempt under way
     std::optional<std::uint64_t> last_event_;
     bool answer_begun_{false}; ///< the caller has part of an answer
     bool head_seen_{false};    ///< of the attempt under way
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -326,6 +326,21 @@
     EXPECT_EQ(errors(), 1U) << "Software that breaks off a request may be at fault.";
 }
 
+TEST_F(request_flow_test,
+       replica_that_outlasts_the_patience_for_it_counts_as_slow_and_not_as_failed)
+{
+    at_.core.rollouts().order({"engine", "v2", 20s}, now());
+    start("/report/1");
+    step_ =
+        flow_->on_failure({error_code::upstream_timeout, run_state::outcome_unknown, ""}, now());
+    version_counts counts;
+    for (const auto& it : at_.core.make_report(report_scope::vm, now()).evidence) {
+        counts = it.group.value.ends_with("#") ? it.counts : counts;
+    }
+    EXPECT_EQ(counts.errors, 0U) << "The patience is this VM's own and shorter than the deadline.";
+    EXPECT_EQ(counts.slow, 1U);
+}
+
 /// Whatever the replicas do: at most one of them gets a non-idempotent request, unless it said that
 /// it did not run it; no replica gets it twice; and a refusal that promises "not run" is true.
 RC_GTEST_PROP(request_flow_property, promises_hold_over_random_histories, ())
--- a/src/proxy/rollout_board.hpp
+++ b/src/proxy/rollout_board.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "proxy/peer_report.hpp"
 #include "proxy/service_rollout.hpp"
+#include "rollout/answer_pace.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -18,7 +19,7 @@
 //
 //   rollout_board board{self, settings};
 //   board.order({"engine", "v2", 24s}, now);
-//   board.note_answer(version, "reports", failed, slow);
+//   board.note_answer({"engine", "v2", "reports", {.failed = false, .slow = true}});
 //   board.judge(facts, now);
 //   for (const auto& it : board.publications(rank, now)) { write(it); }
 
@@ -38,6 +39,20 @@
     std::uint32_t old_in_flight{0};        ///< requests at their replicas
 };
 
+/// What an answer says about the software that gave it.
+struct answer_quality {
+    bool failed{false};
+    bool slow{false};                          ///< its first byte was late
+    std::optional<duration> pause_of_events{}; ///< mean, of a stream
+};
+
+struct judged_answer {
+    std::string service;
+    std::string software;
+    std::string_view route;
+    answer_quality quality;
+};
+
 class rollout_board {
 public:
     rollout_board(process_id self, service_rollout_settings settings);
@@ -53,7 +68,7 @@
     void fill(peer_report& report, time_point now) const;
 
     /// A complete answer, or a failure at the upstream, of a request on `route`.
-    void note_answer(const version_id& version, std::string_view route, bool failed, bool slow);
+    void note_answer(const judged_answer& answer);
 
     using surroundings_of =
         std::function<rollout_surroundings(const std::string& service, const std::string& target)>;
@@ -70,6 +85,7 @@
     [[nodiscard]] service_rollout* find(const std::string& service, const std::string& target);
     [[nodiscard]] bool is_judged(const version_id& group) const;
     [[nodiscard]] version_counts total(const version_id& group) const;
+    [[nodiscard]] bool is_slow(const judged_answer& answer);
     bool judge_groups(const std::string& service, service_rollout& rollout,
                       const std::vector<std::string>& routes,
                       const rollout_surroundings& surroundings);
@@ -81,6 +97,7 @@
     evidence_pool evidence_; ///< of this VM and the members of its domain
     std::map<failure_domain_id, std::map<version_id, version_counts>> domain_evidence_;
     std::map<version_id, version_counts> own_evidence_;
+    std::map<std::string, answer_pace> paces_; ///< of established software, by service
 };
 
 } // namespace wagtailhitch
--- /dev/null
+++ b/src/proxy/rollout_board_test.cpp
@@ -0,0 +1,77 @@
+#include "proxy/rollout_board.hpp"
+
+#include <gtest/gtest.h>
+
+namespace wagtailhitch {
+namespace {
+
+class rollout_board_test : public testing::Test {
+protected:
+    rollout_board_test()
+    {
+        board_.order({"engine", "v2", 20s}, clock_.now());
+        board_.note_published("engine", "v2", rollout_state::running);
+    }
+
+    void answer(const std::string& software, int count, const answer_quality& quality)
+    {
+        for (int i = 0; i < count; ++i) {
+            board_.note_answer({"engine", software, "reports", quality});
+        }
+    }
+
+    /// Streams of sound software: their pauses vary with the load of the replicas.
+    void usual_streams(const std::string& software, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            answer(software, 1, {.pause_of_events = 30ms + 5ms * (i % 10)});
+        }
+    }
+
+    rollout_state judged()
+    {
+        const auto surroundings = [](const std::string&, const std::string&) {
+            return rollout_surroundings{{"v1"}, 0};
+        };
+        board_.judge({"reports"}, surroundings, clock_.now());
+        return board_.find("engine")->state();
+    }
+
+    manual_clock clock_;
+    rollout_board board_{{vm_id{"vm-1"}, 1}, {}};
+};
+
+// Pauses of a version that is eight times slower for half of its requests, measured on lightly
+// loaded replicas, against those of loaded replicas of the old version.
+TEST_F(rollout_board_test, version_whose_streams_are_slow_is_halted_within_20_answers)
+{
+    usual_streams("v1", 200);
+    answer("v2", 20, {.pause_of_events = 80ms});
+    EXPECT_EQ(judged(), rollout_state::rolled_back);
+}
+
+TEST_F(rollout_board_test, version_whose_streams_vary_as_usual_goes_on)
+{
+    usual_streams("v1", 200);
+    usual_streams("v2", 500);
+    EXPECT_EQ(judged(), rollout_state::running);
+}
+
+TEST_F(rollout_board_test, streams_of_the_version_on_trial_do_not_become_usual)
+{
+    usual_streams("v1", 100);
+    answer("v2", 200, {.pause_of_events = 80ms});
+    usual_streams("v1", 10);
+    answer("v2", 20, {.pause_of_events = 80ms});
+    EXPECT_EQ(judged(), rollout_state::rolled_back);
+}
+
+TEST_F(rollout_board_test, failing_version_is_halted)
+{
+    answer("v1", 200, {});
+    answer("v2", 10, {.failed = true});
+    EXPECT_EQ(judged(), rollout_state::rolled_back);
+}
+
+} // namespace
+} // namespace wagtailhitch
--- a/src/proxy/service_rollout.hpp
+++ b/src/proxy/service_rollout.hpp
@@ -47,7 +47,8 @@
     double complete_at{0.78}; ///< part of the period after which the old version may stop
     double latest_at{0.88};   ///< part of the period after which it stops with work in flight
     std::uint64_t minimum_answers{20}; ///< on trial, before all traffic moves
-    evidence_settings evidence{};
+    /// A version that is several times slower makes a third of the answers or more slow.
+    evidence_settings evidence{.slow_worse_by = 0.3};
 };
 
 class service_rollout {
--- a/src/proxy/service_rollout_test.cpp
+++ b/src/proxy/service_rollout_test.cpp
@@ -68,6 +68,19 @@
     EXPECT_FALSE(takes(high_point));
 }
 
+// The counts of indice-andino's day scale-2, where all traffic moved to replicas with empty caches.
+TEST_F(service_rollout_test, version_that_is_slow_while_its_caches_fill_is_not_halted)
+{
+    rollout_.note_published(rollout_state::running);
+    EXPECT_FALSE(rollout_.judge({.answers = 517, .slow = 60}, {.answers = 2000, .slow = 60}));
+}
+
+TEST_F(service_rollout_test, version_with_a_third_of_its_answers_slow_is_halted_within_50_answers)
+{
+    rollout_.note_published(rollout_state::running);
+    EXPECT_TRUE(rollout_.judge({.answers = 50, .slow = 17}, {.answers = 2000, .slow = 60}));
+}
+
 TEST_F(service_rollout_test, failing_version_is_halted_for_good)
 {
     rollout_.note_published(rollout_state::running);
--- a/src/rollout/evidence.cpp
+++ b/src/rollout/evidence.cpp
@@ -35,7 +35,8 @@
     const char* name;
     double bad;
     double n;
-    double assumed; ///< the baseline's rate
+    double assumed;  ///< the baseline's rate
+    double worse_by; ///< least difference that counts
 };
 
 /// Logarithm of the likelihood ratio of the rate `worse` against the baseline's. Counts may be
@@ -50,7 +51,7 @@
 /// is far worse is found sooner than with the smallest difference alone.
 double log_likelihood_ratio(const signal& s, const evidence_settings& settings)
 {
-    const double least = std::max(s.assumed * settings.worse_factor, s.assumed + settings.worse_by);
+    const double least = std::max(s.assumed * settings.worse_factor, s.assumed + s.worse_by);
     double sum = 0;
     for (const double share : alternatives) {
         const double worse =
@@ -135,13 +136,16 @@
     const std::array<signal, 3> all{
         signal{"insufficient", fresh.insufficient, static_cast<double>(fresh.ratings),
                upper_rate(baseline.insufficient + (1 - declared_quality) * prior,
-                          static_cast<double>(baseline.ratings) + prior)},
+                          static_cast<double>(baseline.ratings) + prior),
+               settings.worse_by},
         signal{"errors", static_cast<double>(fresh.errors), n,
                upper_rate(static_cast<double>(baseline.errors) + settings.prior_errors * prior,
-                          base + prior)},
+                          base + prior),
+               settings.worse_by},
         signal{"slow", static_cast<double>(fresh.slow), n,
                upper_rate(static_cast<double>(baseline.slow) + settings.prior_slow * prior,
-                          base + prior)},
+                          base + prior),
+               settings.slow_worse_by},
     };
     const double threshold = std::log(signals / settings.false_alarm_rate);
     for (const auto& s : all) {
--- a/src/rollout/evidence.hpp
+++ b/src/rollout/evidence.hpp
@@ -60,6 +60,9 @@
     /// smaller differences are not worth a halt.
     double worse_factor{1.5};
     double worse_by{0.05};
+    /// The same difference for slow answers. Larger where a roll-out moves all traffic at once to
+    /// replicas whose caches are empty.
+    double slow_worse_by{0.05};
     /// Weight of the declared quality against the baseline's measured ratings.
     double prior_ratings{50};
     /// Expected rates of errors and slow answers before anything is measured.
