--- a/src/proxy/reading_schedule.cpp
+++ b/src/proxy/reading_schedule.cpp
@@ -4,6 +4,20 @@
 
 namespace wagtailhitch {
 
+reading_settings reading_within(duration apply_within)
+{
+    const reading_settings three_seconds;
+    const double factor = std::chrono::duration<double>(apply_within) / 3s;
+    const auto scaled = [factor](duration value) {
+        return std::chrono::duration_cast<duration>(value * factor);
+    };
+    reading_settings out = three_seconds;
+    out.first = scaled(three_seconds.first);
+    out.second = scaled(three_seconds.second);
+    out.longest = scaled(three_seconds.longest);
+    return out;
+}
+
 duration reading_schedule::due_age(std::size_t rank) const
 {
     if (rank == 0) {
--- a/src/proxy/reading_schedule.hpp
+++ b/src/proxy/reading_schedule.hpp
@@ -30,6 +30,10 @@
     duration longest_later_retry{6s};
 };
 
+/// The settings for a deployment whose changes must apply within `apply_within`; the defaults are
+/// those for three seconds.
+reading_settings reading_within(duration apply_within);
+
 class reading_schedule {
 public:
     explicit reading_schedule(reading_settings settings) : settings_{settings} {}
