Collect whole answers in one place

The callers' upstream client, the log client, the store's client and the fetch of missed records collected an answer each in the same way; fetch_whole() does it for all four.

--- a/src/net/platform_client.cpp
+++ b/src/net/platform_client.cpp
@@ -99,18 +99,8 @@
 detail::http_call_ptr platform_client::state::fetch(detail::http_call call,
                                                     detail::whole_answer_hook done)
 {
-    auto answer = std::make_shared<whole_answer>();
-    detail::http_hooks hooks;
-    hooks.on_header = [answer](const detail::answer_head& head) { answer->status = head.status; };
-    hooks.on_data = [answer](std::string_view bytes) { answer->body.append(bytes); };
-    hooks.on_end = [answer, hook = std::move(done)](const detail::call_failure* failure) {
-        if (failure != nullptr) {
-            answer->failure = *failure;
-        }
-        hook(*answer);
-    };
     call.body_limit = settings.body_limit;
-    return client.start(std::move(call), std::move(hooks));
+    return detail::fetch_whole(client, std::move(call), std::move(done));
 }
 
 void platform_client::state::append(log_append&& message)
--- a/src/net/proxy/record_fetch.cpp
+++ b/src/net/proxy/record_fetch.cpp
@@ -1,7 +1,8 @@
 #include "net/proxy/record_fetch.hpp"
 
+#include "net/whole_answer.hpp"
+
 #include <charconv>
-#include <memory>
 #include <utility>
 
 namespace wagtailhitch {
@@ -45,38 +46,32 @@
 void fetch_records(detail::http_client& client, const std::string& address, std::string_view stream,
                    log_offset from, std::function<void(expected<relayed_records>)> done)
 {
-    struct reply {
-        unsigned status{0};
-        std::string body;
-    };
-    const auto collected = std::make_shared<reply>();
     detail::http_call call;
     call.address = address;
     call.target = records_path(stream, from);
     call.first_byte_timeout = answer_timeout;
     call.progress_timeout = answer_timeout;
     call.body_limit = answer_limit;
-    detail::http_hooks hooks;
-    hooks.on_header = [collected](const detail::answer_head& head) {
-        collected->status = head.status;
-    };
-    hooks.on_data = [collected](std::string_view bytes) { collected->body.append(bytes); };
-    hooks.on_end = [collected, address, &client,
-                    done = std::move(done)](const detail::call_failure* failure) {
-        if (failure != nullptr) {
-            client.forget(address);
-        }
-        if (failure != nullptr || collected->status != 200) {
-            const std::string why = failure != nullptr
-                                        ? failure->detail
-                                        : "Status " + std::to_string(collected->status);
-            done(tl::unexpected(error{
-                error_code::log_unavailable, step::peer, address, run_state::not_run, why, {}}));
-            return;
-        }
-        done(decode_relayed_records(collected->body));
-    };
-    client.start(std::move(call), std::move(hooks));
+    detail::fetch_whole(
+        client, std::move(call),
+        [address, &client, done = std::move(done)](const detail::whole_answer& answer) {
+            if (answer.ok()) {
+                done(decode_relayed_records(answer.body));
+                return;
+            }
+            if (answer.failure) {
+                // The kept connections may have gone silent; the next call opens a new one.
+                client.forget(address);
+            }
+            std::string why =
+                answer.failure ? answer.failure->detail : "Status " + std::to_string(answer.status);
+            done(tl::unexpected(error{error_code::log_unavailable,
+                                      step::peer,
+                                      address,
+                                      run_state::not_run,
+                                      std::move(why),
+                                      {}}));
+        });
 }
 
 } // namespace wagtailhitch
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -60,7 +60,6 @@
     void probe(probe_upstream&& message);
     void poll_cache_events(const probe_upstream& message);
     void order(upstream_order&& message);
-    void fetch(detail::http_call call, detail::whole_answer_hook done);
 
     boost::asio::io_context& io;
     upstream_client_settings settings;
@@ -171,22 +170,7 @@
     call.headers = {{"X-Request-Id", name}, {"X-Attempt", std::to_string(message.attempt.number)}};
     call.first_byte_timeout = settings.cancel_timeout;
     call.progress_timeout = settings.cancel_timeout;
-    fetch(std::move(call), [](const detail::whole_answer&) {});
-}
-
-void upstream_client::state::fetch(detail::http_call call, detail::whole_answer_hook done)
-{
-    auto answer = std::make_shared<detail::whole_answer>();
-    detail::http_hooks hooks;
-    hooks.on_header = [answer](const detail::answer_head& head) { answer->status = head.status; };
-    hooks.on_data = [answer](std::string_view bytes) { answer->body.append(bytes); };
-    hooks.on_end = [answer, hook = std::move(done)](const detail::call_failure* failure) {
-        if (failure != nullptr) {
-            answer->failure = *failure;
-        }
-        hook(*answer);
-    };
-    client.start(std::move(call), std::move(hooks));
+    detail::fetch_whole(client, std::move(call), [](const detail::whole_answer&) {});
 }
 
 void upstream_client::state::probe(probe_upstream&& message)
@@ -197,14 +181,15 @@
     call.first_byte_timeout = settings.probe_timeout;
     call.progress_timeout = settings.probe_timeout;
     call.body_limit = probe_body_limit;
-    fetch(std::move(call), [this, message](const detail::whole_answer& answer) {
-        probe_result result = detail::parse_probe(message, answer);
-        const bool reachable = result.reachable;
-        sender.send(std::move(result));
-        if (message.engine && reachable) {
-            poll_cache_events(message);
-        }
-    });
+    detail::fetch_whole(client, std::move(call),
+                        [this, message](const detail::whole_answer& answer) {
+                            probe_result result = detail::parse_probe(message, answer);
+                            const bool reachable = result.reachable;
+                            sender.send(std::move(result));
+                            if (message.engine && reachable) {
+                                poll_cache_events(message);
+                            }
+                        });
 }
 
 void upstream_client::state::poll_cache_events(const probe_upstream& message)
@@ -215,13 +200,15 @@
     call.target = "/v1/cache-events?from=" + std::to_string(from);
     call.first_byte_timeout = settings.probe_timeout;
     call.progress_timeout = settings.probe_timeout;
-    fetch(std::move(call), [this, id = message.upstream, from](const detail::whole_answer& answer) {
-        auto page = detail::parse_cache_events(id, from, answer);
-        next_cache_event[id] = page.next;
-        if (page.events.gap || !page.events.stored.empty() || !page.events.evicted.empty()) {
-            sender.send(std::move(page.events));
-        }
-    });
+    detail::fetch_whole(client, std::move(call),
+                        [this, id = message.upstream, from](const detail::whole_answer& answer) {
+                            auto page = detail::parse_cache_events(id, from, answer);
+                            next_cache_event[id] = page.next;
+                            if (page.events.gap || !page.events.stored.empty() ||
+                                !page.events.evicted.empty()) {
+                                sender.send(std::move(page.events));
+                            }
+                        });
 }
 
 void upstream_client::state::order(upstream_order&& message)
@@ -234,9 +221,10 @@
     call.body = detail::order_body(message);
     call.first_byte_timeout = settings.order_timeout;
     call.progress_timeout = settings.order_timeout;
-    fetch(std::move(call), [this, message](const detail::whole_answer& answer) {
-        sender.send(detail::parse_order_result(message, answer));
-    });
+    detail::fetch_whole(client, std::move(call),
+                        [this, message](const detail::whole_answer& answer) {
+                            sender.send(detail::parse_order_result(message, answer));
+                        });
 }
 
 upstream_client::upstream_client(boost::asio::io_context& io, upstream_client_settings settings,
--- a/src/net/upstream_probe.hpp
+++ b/src/net/upstream_probe.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "net/http_client.hpp"
+#include "net/whole_answer.hpp"
 #include "node/messages.hpp"
 
 #include <functional>
@@ -13,17 +13,6 @@
 
 namespace wagtailhitch::detail {
 
-/// An answer that was read as a whole, or the reason why there is none.
-struct whole_answer {
-    unsigned status{0};
-    std::string body;
-    std::optional<call_failure> failure;
-
-    [[nodiscard]] bool ok() const { return !failure && status == 200; }
-};
-
-using whole_answer_hook = std::function<void(const whole_answer&)>;
-
 /// Unreachable when there is no answer with status 200; a service's body may be anything.
 probe_result parse_probe(const probe_upstream& probe, const whole_answer& answer);
 
--- /dev/null
+++ b/src/net/whole_answer.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "net/http_client.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+// A call whose answer is short and wanted as a whole.
+//
+//   fetch_whole(client, {.address = peer, .target = "/v1/load"},
+//               [](const whole_answer& answer) { if (answer.ok()) { ... } });
+
+namespace wagtailhitch::detail {
+
+/// An answer that was read as a whole, or the reason why there is none.
+struct whole_answer {
+    unsigned status{0};
+    std::string body;
+    std::optional<call_failure> failure;
+
+    [[nodiscard]] bool ok() const { return !failure && status == 200; }
+};
+
+using whole_answer_hook = std::function<void(const whole_answer&)>;
+
+/// `done` runs exactly once unless the returned call is cancelled.
+http_call_ptr fetch_whole(http_client& client, http_call call, whole_answer_hook done);
+
+} // namespace wagtailhitch::detail
