Let requests wait for the first reads of a VM that has just started

Change: for at most 500 ms after its start, a VM that cannot serve yet looks every 20 ms instead of refusing. Later, when the store does not answer, it refuses at once as before. Ruled out: a longer Retry-After, since the callers have no second retry.

--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -103,6 +103,21 @@
     std::visit([this](auto& it) { perform_step(it); }, step);
 }
 
+void proxied_exchange::perform_step(const wait_step& step)
+{
+    if (!std::exchange(waited_, true)) {
+        context_.counters.count("proxied_requests_waited_total").add();
+        context_.log.write(
+            "request_waits",
+            {{"id", flow_.request().id}, {"reason", context_.core.ready(context_.clock()).reason}});
+    }
+    pause_ = context_.deadlines.after(step.pause, [self = weak_from_this()] {
+        if (const auto it = self.lock()) {
+            it->start();
+        }
+    });
+}
+
 void proxied_exchange::perform_step(send_step& step)
 {
     cancel_call();
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -60,6 +60,7 @@
     enum class relay_mode { none, stream, whole };
 
     void perform(flow_step step);
+    void perform_step(const wait_step& step);
     void perform_step(send_step& step);
     void perform_step(const relay_step& step);
     void perform_step(const answer_step& step);
@@ -97,6 +98,7 @@
     std::string whole_;
     event_splitter events_;
     std::optional<time_point> first_byte_at_;
+    bool waited_{false}; ///< for the first reads of a VM that has just started
     bool ended_{false};
     // Of the last attempt, for the line at the end.
     std::string last_replica_;
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -59,8 +59,9 @@
 } // namespace
 
 proxy_core::proxy_core(proxy_settings settings, metrics& registry, time_point now)
-    : settings_{std::move(settings)}, counters_{registry}, generator_{settings_.seed},
-      schedule_{settings_.reading}, directory_{settings_.directory, settings_.regions},
+    : settings_{std::move(settings)}, counters_{registry}, started_at_{now},
+      generator_{settings_.seed}, schedule_{settings_.reading}, directory_{settings_.directory,
+                                                                           settings_.regions},
       pool_{settings_.pool}, chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
       link_{{.bytes_per_second = settings_.link_bytes_per_second}, now}, retries_{settings_.retry},
       models_{settings_.models}, bills_{settings_.self, settings_.report_address, settings_.bills},
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -105,6 +105,10 @@
     /// Unknown keys and paths are refused for good only by a configuration confirmed this recently.
     duration certain_refusal{2s};
     duration session_memory{5s};
+    /// After the start, requests wait so long for the first reads instead of being refused. A VM
+    /// knows what it needs a quarter of a second after its start if the store answers; callers
+    /// whose connections a loss of VMs broke have no second retry.
+    duration start_patience{500ms};
     /// A peer that has not reported for so long is taken as gone.
     duration peer_timeout{2s};
     reading_settings reading{};
@@ -211,6 +215,11 @@
 
     // ---- state
     [[nodiscard]] readiness ready(time_point now) const;
+    /// The VM has just started and cannot serve yet.
+    [[nodiscard]] bool starting(time_point now) const
+    {
+        return now - started_at_ < settings_.start_patience && !stopping_ && !ready(now).ready;
+    }
     [[nodiscard]] const std::shared_ptr<const proxy_catalog>& catalog() const { return catalog_; }
     [[nodiscard]] duration configuration_age(time_point now) const { return now - confirmed_at_; }
     peer_table& peers() { return peers_; }
@@ -261,6 +270,7 @@
 
     proxy_settings settings_;
     metrics& counters_;
+    time_point started_at_;
     std::mt19937_64 generator_;
     std::shared_ptr<const proxy_catalog> catalog_;
     time_point confirmed_at_{};
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -17,6 +17,8 @@
 constexpr double patience = 6;
 constexpr double least_patience_share = 0.35;
 constexpr double most_patience_share = 1.2;
+/// Between two looks whether a starting VM can serve. Short against the aims of callers.
+constexpr duration start_poll = 20ms;
 /// First event later than this part of the target counts as slow in the evidence of a roll-out.
 constexpr double slow_share = 0.5;
 
@@ -62,6 +64,9 @@
 
 flow_step request_flow::begin(time_point now)
 {
+    if (core_.starting(now)) {
+        return wait_step{start_poll};
+    }
     auto admitted = core_.admit(request_, now);
     if (!admitted) {
         return answer_step{status_of(admitted.error()), admitted.error()};
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -30,6 +30,11 @@
     bool fresh_connection{false}; ///< an old one could lose the request, which must not be repeated
 };
 
+/// The VM has just started and is about to know where to send the request: call begin() again.
+struct wait_step {
+    duration pause{};
+};
+
 /// Pass the answer of the attempt under way on to the caller.
 struct relay_step {};
 
@@ -45,7 +50,7 @@
     error reason;
 };
 
-using flow_step = std::variant<send_step, relay_step, answer_step, break_step>;
+using flow_step = std::variant<send_step, wait_step, relay_step, answer_step, break_step>;
 
 /// The head of a replica's answer, as far as decisions need it.
 struct replica_head {
@@ -73,6 +78,7 @@
     request_flow(const request_flow&) = delete;
     request_flow& operator=(const request_flow&) = delete;
 
+    /// Called again after a wait_step.
     flow_step begin(time_point now);
     flow_step on_head(const replica_head& head, time_point now);
     /// An event of a stream was passed on to the caller.
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -341,6 +341,61 @@
     EXPECT_EQ(counts.slow, 1U);
 }
 
+/// A VM that has just started: it knows nothing yet.
+class starting_vm_test : public testing::Test {
+protected:
+    void learn_everything()
+    {
+        core_.set_catalog(std::make_shared<const proxy_catalog>(testing_proxy::make_contents(1)));
+        core_.confirm(clock_.now());
+        core_.replicas().announce(testing_proxy::make_replica("engine-a", "engine", "a"),
+                                  clock_.now());
+        core_.replicas().announce(testing_proxy::make_replica("app-a", "app", "a"), clock_.now());
+        core_.tick(clock_.now());
+    }
+
+    manual_clock clock_;
+    metrics counters_;
+    proxy_core core_{testing_proxy::make_settings(), counters_, clock_.now()};
+    request_flow flow_{core_,
+                       {.id = "id-1",
+                        .host = "api.example",
+                        .path = "/publish/1",
+                        .key = "key-1",
+                        .session = {},
+                        .model = {},
+                        .parts = {},
+                        .deadline = 4s,
+                        .resume_after = {},
+                        .received_at = clock_.now()}};
+};
+
+TEST_F(starting_vm_test, request_waits_for_the_first_reads)
+{
+    ASSERT_TRUE(std::holds_alternative<wait_step>(flow_.begin(clock_.now())));
+    clock_.advance(200ms);
+    learn_everything();
+    EXPECT_TRUE(std::holds_alternative<send_step>(flow_.begin(clock_.now())));
+}
+
+TEST_F(starting_vm_test, request_is_refused_as_not_run_when_the_reads_take_long)
+{
+    clock_.advance(499ms);
+    ASSERT_TRUE(std::holds_alternative<wait_step>(flow_.begin(clock_.now())));
+    clock_.advance(1ms);
+    const auto step = flow_.begin(clock_.now());
+    const auto* refusal = std::get_if<answer_step>(&step);
+    ASSERT_NE(refusal, nullptr) << "Without the store nothing tells how long it will take.";
+    EXPECT_EQ(refusal->status, 503U);
+    EXPECT_TRUE(refusal->reason.retry_after.has_value());
+}
+
+TEST_F(starting_vm_test, stopping_vm_lets_nobody_wait)
+{
+    core_.begin_stop();
+    EXPECT_TRUE(std::holds_alternative<answer_step>(flow_.begin(clock_.now())));
+}
+
 /// Whatever the replicas do: at most one of them gets a non-idempotent request, unless it said that
 /// it did not run it; no replica gets it twice; and a refusal that promises "not run" is true.
 RC_GTEST_PROP(request_flow_property, promises_hold_over_random_histories, ())
