Refuse requests whose time is over before they are sent, read evidence of the version before

Found by reading the change again. A request that waited for the first reads of a starting VM could outlive its deadline (at most by 500 ms) and was then sent to a replica with no time left. Reports with evidence of the version before were rejected for want of the newest count, so that VMs of two versions would not have heard each other during a roll-out in an upgrade.

--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -122,13 +122,15 @@
 bool decode_evidence(const json& array, std::vector<reported_evidence>& out)
 {
     for (const auto& item : array) {
+        constexpr std::size_t dragged_at = 4;
         field_reader in{item};
         reported_evidence evidence;
         evidence.group = version_id{in.text()};
         evidence.counts.answers = in.number();
         evidence.counts.errors = in.number();
         evidence.counts.slow = in.number();
-        evidence.counts.dragged = in.number();
+        // Absent in reports of the version before, which runs beside this one during an upgrade.
+        evidence.counts.dragged = item.size() > dragged_at ? in.number() : 0;
         if (!in.complete()) {
             return false;
         }
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -1,3 +1,4 @@
+#include "base/msgpack.hpp"
 #include "proxy/peer_report.hpp"
 
 #include <gtest/gtest.h>
@@ -38,6 +39,21 @@
     EXPECT_EQ(*decoded, sample());
 }
 
+// VMs of the version before run beside new ones while a deployment is upgraded.
+TEST(peer_report_test, evidence_without_the_newest_count_is_read)
+{
+    auto report = nlohmann::json::from_msgpack(encode_peer_report(sample()));
+    for (auto& field : report) {
+        if (field.is_array() && !field.empty() && field[0].is_array() && !field[0].empty() &&
+            field[0][0] == "engine@v2#r") {
+            field[0].erase(field[0].size() - 1);
+        }
+    }
+    const auto decoded = decode_peer_report(encode_msgpack(report));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->evidence, sample().evidence);
+}
+
 TEST(peer_report_test, report_of_another_layout_is_rejected)
 {
     EXPECT_FALSE(decode_peer_report("\x91\x02").has_value());
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -22,6 +22,14 @@
 /// First event later than this part of the target counts as slow in the evidence of a roll-out.
 constexpr double slow_share = 0.5;
 
+/// The final answer to a request whose time is over before it was sent to anyone.
+answer_step too_late()
+{
+    error reason{error_code::deadline_unreachable, step::admit, {}, run_state::not_run, {}, {}};
+    reason.detail = "The request's time was over before it could be sent.";
+    return {status_of(reason), std::move(reason)};
+}
+
 duration scale(duration value, double by)
 {
     return std::chrono::duration_cast<duration>(value * by);
@@ -64,13 +72,21 @@
 
 flow_step request_flow::begin(time_point now)
 {
+    const time_point deadline =
+        request_.deadline ? request_.received_at + *request_.deadline : time_point::max();
+    if (now >= deadline) {
+        return too_late();
+    }
     if (core_.starting(now)) {
-        return wait_step{start_poll};
+        return wait_step{std::min(start_poll, deadline - now)};
     }
     auto admitted = core_.admit(request_, now);
     if (!admitted) {
         return answer_step{status_of(admitted.error()), admitted.error()};
     }
+    if (now >= admitted->give_up_at) {
+        return too_late();
+    }
     admitted_ = std::move(*admitted);
     core_.count_request(*admitted_, now);
     return place(duration{0}, now);
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -390,6 +390,23 @@
     EXPECT_TRUE(refusal->reason.retry_after.has_value());
 }
 
+TEST_F(starting_vm_test, request_whose_deadline_passes_meanwhile_is_refused_and_sent_to_nobody)
+{
+    proxied_request urgent = flow_.request();
+    urgent.deadline = 100ms;
+    request_flow flow{core_, urgent};
+    ASSERT_TRUE(std::holds_alternative<wait_step>(flow.begin(clock_.now())));
+    clock_.advance(100ms);
+    const auto step = flow.begin(clock_.now());
+    const auto* refusal = std::get_if<answer_step>(&step);
+    ASSERT_NE(refusal, nullptr) << "The final answer is due at the caller's deadline.";
+    EXPECT_EQ(refusal->status, 503U) << "It has not run.";
+    learn_everything();
+    request_flow late{core_, urgent};
+    EXPECT_TRUE(std::holds_alternative<answer_step>(late.begin(clock_.now())))
+        << "A replica must get no request whose time is over.";
+}
+
 TEST_F(starting_vm_test, stopping_vm_lets_nobody_wait)
 {
     core_.begin_stop();
