Learn the speed of engines from their answers

Cause: the prompt tokens that an engine reads per second, the time to the first token of an idle one and the factors between models were figures of the first two deployments.

Change: src/calibration learns base, time a prompt token and growth with the load for each service, software and model from the time to the head of each answer, by weighted least squares of relative errors. Moments travel with the reports between VMs, once a second, and add up over members and failure domains. Chooser, head timeouts and cascade use the learned times.

--- a/src/proxy/model_cascade.cpp
+++ b/src/proxy/model_cascade.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-model_cascade::model_cascade(model_cascade_settings settings) : settings_{std::move(settings)} {}
+model_cascade::model_cascade(model_cascade_settings settings) : settings_{settings} {}
 
 std::size_t model_cascade::first(std::size_t count, const estimate& expected, duration target) const
 {
@@ -45,14 +45,4 @@
     return std::nullopt;
 }
 
-double model_cascade::prefill_time_factor(std::size_t count, std::size_t model) const
-{
-    const auto& prefill_time_factors = settings_.prefill_time_factors;
-    if (prefill_time_factors.empty() || count <= 1) {
-        return 1;
-    }
-    const std::size_t at = model * (prefill_time_factors.size() - 1) / (count - 1);
-    return prefill_time_factors[std::min(at, prefill_time_factors.size() - 1)];
-}
-
 } // namespace wagtailhitch
--- a/src/proxy/model_cascade.hpp
+++ b/src/proxy/model_cascade.hpp
@@ -5,7 +5,6 @@
 #include <cstddef>
 #include <functional>
 #include <optional>
-#include <vector>
 
 // Chooses the model of a route's cascade that answers a request: a small one first, and a larger
 // one if the small one's confidence in its answer is low and the larger one can still answer in
@@ -25,9 +24,6 @@
     /// Largest share of the latency target, or of the time left, for a model's expected time to the
     /// first token.
     double first_token_share{0.6};
-    /// Prefill time per prompt token relative to a standard model, smallest model first. Cascades
-    /// of other lengths are mapped to the same range.
-    std::vector<double> prefill_time_factors{0.3, 0.8, 3.0};
 };
 
 class model_cascade {
@@ -44,7 +40,6 @@
     [[nodiscard]] std::optional<std::size_t> next(std::size_t count, std::size_t current,
                                                   double confidence, const estimate& expected,
                                                   duration time_left) const;
-    [[nodiscard]] double prefill_time_factor(std::size_t count, std::size_t model) const;
 
 private:
     model_cascade_settings settings_;
--- a/src/proxy/model_cascade_test.cpp
+++ b/src/proxy/model_cascade_test.cpp
@@ -53,12 +53,5 @@
     EXPECT_EQ(large_first.first(models, loaded, 100ms), 0U);
 }
 
-TEST_F(model_cascade_test, cascade_of_two_uses_the_outer_prefill_time_factors)
-{
-    EXPECT_DOUBLE_EQ(cascade_.prefill_time_factor(2, 0), 0.3);
-    EXPECT_DOUBLE_EQ(cascade_.prefill_time_factor(2, 1), 3.0);
-    EXPECT_DOUBLE_EQ(cascade_.prefill_time_factor(1, 0), 1.0);
-}
-
 } // namespace
 } // namespace wagtailhitch
--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -12,6 +12,8 @@
 
 /// Layout version of the report's fields; later versions only append fields.
 constexpr std::uint64_t layout_version = 2;
+/// Position of the calibration in a report.
+constexpr std::size_t calibration_index = 20;
 
 json encode_loads(const std::vector<reported_load>& loads)
 {
@@ -62,6 +64,15 @@
     return out;
 }
 
+json encode_calibration(const std::vector<reported_calibration>& calibration)
+{
+    json out = json::array();
+    for (const auto& item : calibration) {
+        out.push_back({item.engine, item.moments});
+    }
+    return out;
+}
+
 duration milliseconds(std::int64_t value)
 {
     return std::chrono::milliseconds{value};
@@ -155,6 +166,27 @@
     return true;
 }
 
+bool decode_calibration(const json& array, std::vector<reported_calibration>& out)
+{
+    for (const auto& item : array) {
+        field_reader in{item};
+        reported_calibration calibration;
+        calibration.engine = in.number();
+        const json& moments = in.array();
+        if (!in.complete() || moments.size() != calibration.moments.size()) {
+            return false;
+        }
+        for (std::size_t i = 0; i < moments.size(); ++i) {
+            if (!moments[i].is_number()) {
+                return false;
+            }
+            calibration.moments[i] = moments[i].get<float>();
+        }
+        out.push_back(calibration);
+    }
+    return true;
+}
+
 } // namespace
 
 std::string encode_peer_report(const peer_report& report)
@@ -178,7 +210,8 @@
                                        encode_loads(report.loads),
                                        encode_rollouts(report.rollouts),
                                        encode_evidence(report.evidence),
-                                       encode_sessions(report.sessions)}));
+                                       encode_sessions(report.sessions),
+                                       encode_calibration(report.calibration)}));
 }
 
 expected<peer_report> decode_peer_report(std::string_view data)
@@ -204,11 +237,13 @@
     report.replica_position = in.number();
     report.replica_age = milliseconds(in.integer());
     report.leaving = in.flag();
-    const bool lists_decoded = decode_received(in.array(), report.received) &&
-                               decode_loads(in.array(), report.loads) &&
-                               decode_rollouts(in.array(), report.rollouts) &&
-                               decode_evidence(in.array(), report.evidence) &&
-                               decode_sessions(in.array(), report.sessions);
+    const bool lists_decoded =
+        decode_received(in.array(), report.received) && decode_loads(in.array(), report.loads) &&
+        decode_rollouts(in.array(), report.rollouts) &&
+        decode_evidence(in.array(), report.evidence) &&
+        decode_sessions(in.array(), report.sessions) &&
+        // Absent in reports of the previous version.
+        (value->size() <= calibration_index || decode_calibration(in.array(), report.calibration));
     if (!known || !scope || !lists_decoded || !in.complete()) {
         return tl::unexpected(malformed(step::peer, report_name));
     }
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -3,6 +3,7 @@
 #include "base/clock.hpp"
 #include "base/error.hpp"
 #include "base/ids.hpp"
+#include "calibration/engine_calibration.hpp"
 #include "proxy/service_rollout.hpp"
 #include "rollout/evidence.hpp"
 
@@ -102,6 +103,8 @@
     std::vector<reported_rollout> rollouts;
     std::vector<reported_evidence> evidence;
     std::vector<reported_session> sessions;
+    /// Contained in about one report a second; an empty list changes nothing.
+    std::vector<reported_calibration> calibration;
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -29,6 +29,10 @@
         {{"app", "v3", 12s}, 1s, rollout_state::running, std::nullopt, ""}};
     out.evidence = {{version_id{"engine@v2#r"}, {.answers = 10, .errors = 2, .slow = 1}}};
     out.sessions = {{0xfedcba9876543210ULL, "v2", 40ms}};
+    reported_calibration calibration;
+    calibration.engine = 0xfedcba9876543211ULL;
+    calibration.moments.fill(0.25F);
+    out.calibration = {calibration};
     return out;
 }
 
@@ -55,6 +59,25 @@
     EXPECT_EQ(decoded->evidence, sample_report().evidence);
 }
 
+// Guards against rejecting reports of VMs of the previous version, which do not report what they
+// learned about the engines.
+TEST(peer_report_test, report_without_calibration_is_read)
+{
+    auto report = nlohmann::json::from_msgpack(encode_peer_report(sample_report()));
+    report.erase(report.size() - 1);
+    const auto decoded = decode_peer_report(encode_msgpack(report));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_TRUE(decoded->calibration.empty());
+    EXPECT_EQ(decoded->sessions, sample_report().sessions);
+}
+
+TEST(peer_report_test, calibration_of_another_size_is_rejected)
+{
+    auto report = nlohmann::json::from_msgpack(encode_peer_report(sample_report()));
+    report.back()[0][1].push_back(1.0);
+    EXPECT_FALSE(decode_peer_report(encode_msgpack(report)).has_value());
+}
+
 TEST(peer_report_test, report_of_another_layout_is_rejected)
 {
     EXPECT_FALSE(decode_peer_report("\x91\x02").has_value());
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -67,10 +67,9 @@
       pool_{settings_.pool}, chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
       link_{{.bytes_per_second = settings_.link_bytes_per_second}, now}, retries_{settings_.retry},
       cascade_{settings_.models}, bills_{settings_.self, settings_.report_address, settings_.bills},
-      rollouts_{settings_.self, settings_.rollout}, peers_{{settings_.self,
-                                                            settings_.report_address,
-                                                            settings_.failure_domain,
-                                                            settings_.peer_timeout}},
+      calibration_{settings_.calibration}, rollouts_{settings_.self, settings_.rollout},
+      peers_{{settings_.self, settings_.report_address, settings_.failure_domain,
+              settings_.peer_timeout}},
       sessions_{settings_.session_affinity}
 {
 }
@@ -218,19 +217,30 @@
                : old_software();
 }
 
-duration proxy_core::expected_first_token(const version_id& version, const proxied_request& request,
-                                          std::size_t model_count, std::size_t model,
-                                          time_point now) const
+first_token_model proxy_core::timing_of(const std::string& service, const std::string& software,
+                                        std::size_t model, time_point now)
 {
-    const double tokens = request.prompt_tokens * cascade_.prefill_time_factor(model_count, model);
+    if (software != any_software) {
+        return calibration_.model({service, software, model}, now);
+    }
+    const auto present = directory_.software_versions_of(service);
+    return calibration_.model({service, present.empty() ? software : present.front(), model}, now);
+}
+
+duration proxy_core::expected_first_token(const admission& admitted, const std::string& software,
+                                          const proxied_request& request, std::size_t model,
+                                          time_point now)
+{
+    const version_id version = software_version_id(admitted.service, software);
+    const first_token_model timing = timing_of(admitted.service, software, model, now);
     std::optional<duration> best;
     for (const auto distance : {locality::domain, locality::region}) {
         for (const replica_index replica : pool_.members(version, distance)) {
             if (!pool_.admits(replica, now)) {
                 continue;
             }
-            const duration expected = chooser_.expected_first_token(
-                pool_, replica, static_cast<std::uint32_t>(tokens), now);
+            const duration expected =
+                chooser_.expected_first_token(pool_, replica, request.prompt_tokens, &timing, now);
             best = best ? std::min(*best, expected) : expected;
         }
     }
@@ -251,7 +261,7 @@
     return cascade_.next(
         route.models.size(), *placed.model, confidence,
         [&](std::size_t model) {
-            return expected_first_token(placed.version, request, route.models.size(), model, now);
+            return expected_first_token(admitted, placed.software, request, model, now);
         },
         left);
 }
@@ -277,7 +287,7 @@
 std::optional<std::size_t> proxy_core::choose_model(const admission& admitted,
                                                     const proxied_request& request,
                                                     const send_history& history,
-                                                    const version_id& version, time_point now) const
+                                                    const std::string& software, time_point now)
 {
     const std::size_t model_count = admitted.route->models.size();
     if (model_count == 0 || history.model) {
@@ -285,19 +295,20 @@
     }
     return cascade_.first(
         model_count,
-        [&](std::size_t it) {
-            return expected_first_token(version, request, model_count, it, now);
-        },
+        [&](std::size_t it) { return expected_first_token(admitted, software, request, it, now); },
         admitted.route->target_latency);
 }
 
 expected<choice> proxy_core::choose_replica(const admission& admitted,
                                             const proxied_request& request,
-                                            const send_history& history, const version_id& version,
+                                            const send_history& history,
+                                            const std::string& software,
                                             std::optional<std::size_t> model,
                                             const std::vector<std::uint64_t>& chain, time_point now)
 {
     const auto sizes = shared_part_sizes(request);
+    const version_id version = software_version_id(admitted.service, software);
+    const first_token_model timing = timing_of(admitted.service, software, model.value_or(0), now);
     choice_request wanted;
     wanted.version = &version;
     wanted.excluded = history.tried;
@@ -307,8 +318,7 @@
     wanted.request_bytes = static_cast<double>(request.body_bytes);
     wanted.answer_bytes = expected_answer_bytes;
     wanted.first_token_target = admitted.route->target_latency / remote_target_divisor;
-    wanted.relative_prefill_time =
-        model ? cascade_.prefill_time_factor(admitted.route->models.size(), *model) : 1;
+    wanted.timing = &timing;
     wanted.cost_per_1k_input = settings_.prefill_cost;
     if (!chain.empty()) {
         wanted.prefix_home = home_of(version, chain.back());
@@ -324,10 +334,9 @@
         refresh_pool(now);
     }
     const std::string software = choose_software(admitted, request, history, now);
-    const version_id version = software_version_id(admitted.service, software);
-    const auto model = choose_model(admitted, request, history, version, now);
+    const auto model = choose_model(admitted, request, history, software, now);
     const auto chain = prefix_hash_chain(request, model.value_or(0));
-    const auto chosen = choose_replica(admitted, request, history, version, model, chain, now);
+    const auto chosen = choose_replica(admitted, request, history, software, model, chain, now);
     if (!chosen) {
         return tl::unexpected(chosen.error());
     }
@@ -352,6 +361,10 @@
     out.model = model;
     out.predicted = chosen->predicted;
     out.expected_first_token = chosen->expected_first_token;
+    const double slots = std::max<double>(1, load.slots);
+    out.engine = {admitted.service, out.software, model.value_or(0)};
+    out.inputs = {chosen->uncached_tokens, std::min(chosen->load / slots, 1.0)};
+    out.waits = chosen->load >= slots;
     const service_rollout* rollout = rollouts_.find(admitted.service);
     out.on_trial = rollout != nullptr && rollout->order().target == out.software &&
                    rollout->state() == rollout_state::running;
@@ -374,6 +387,14 @@
     }
 }
 
+void proxy_core::note_first_token(const placement& placed, duration first_token, time_point now)
+{
+    if (!placed.waits) {
+        const duration on_network = chooser_.round_trip_to(placed.distance);
+        calibration_.observe(placed.engine, placed.inputs, first_token - on_network, now);
+    }
+}
+
 void proxy_core::finish(const placement& placed, const attempt_outcome& outcome, time_point now)
 {
     if (pool_.finish(placed.ticket, outcome, now)) {
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -2,6 +2,7 @@
 
 #include "base/error.hpp"
 #include "base/metrics.hpp"
+#include "calibration/engine_calibration.hpp"
 #include "proxy/catalog.hpp"
 #include "proxy/domain_bills.hpp"
 #include "proxy/model_cascade.hpp"
@@ -92,6 +93,9 @@
     duration predicted{};
     duration expected_first_token{};
     bool on_trial{false}; ///< its software is being rolled out
+    engine_key engine;
+    first_token_inputs inputs; ///< that `predicted` depends on
+    bool waits{false};         ///< all slots of the replica are believed to be in use
 };
 
 struct proxy_settings {
@@ -125,6 +129,9 @@
     directory_settings directory{};
     service_rollout_settings rollout{};
     model_cascade_settings models{};
+    calibration_settings calibration{};
+    /// Time between two reports of what was learned about the engines.
+    duration calibration_interval{1s};
     retry_settings retry{};
     domain_bill_settings bills{};
     double prefill_cost{0.06}; ///< money units per 1000 prompt tokens
@@ -202,6 +209,8 @@
     [[nodiscard]] bill_line bill_line_of(const admission& admitted, const placement& placed,
                                          std::uint64_t prompt_tokens,
                                          std::uint64_t generated_tokens) const;
+    /// Records the time from sending a request to the head of its answer.
+    void note_first_token(const placement& placed, duration first_token, time_point now);
     /// Ends the attempt that place() began.
     void finish(const placement& placed, const attempt_outcome& outcome, time_point now);
     /// Records a complete answer or a failure of the upstream as evidence on its software.
@@ -255,16 +264,21 @@
                                               const send_history& history, time_point now) const;
     [[nodiscard]] std::optional<std::size_t>
     choose_model(const admission& admitted, const proxied_request& request,
-                 const send_history& history, const version_id& version, time_point now) const;
+                 const send_history& history, const std::string& software, time_point now);
     /// `chain`: chained hashes of the prompt's shared parts for the model.
     expected<choice> choose_replica(const admission& admitted, const proxied_request& request,
-                                    const send_history& history, const version_id& version,
+                                    const send_history& history, const std::string& software,
                                     std::optional<std::size_t> model,
                                     const std::vector<std::uint64_t>& chain, time_point now);
-    [[nodiscard]] duration expected_first_token(const version_id& version,
-                                                const proxied_request& request,
-                                                std::size_t model_count, std::size_t model,
-                                                time_point now) const;
+    /// What was learned about the engines that `software` of a service stands for.
+    [[nodiscard]] first_token_model timing_of(const std::string& service,
+                                              const std::string& software, std::size_t model,
+                                              time_point now);
+    [[nodiscard]] duration expected_first_token(const admission& admitted,
+                                                const std::string& software,
+                                                const proxied_request& request, std::size_t model,
+                                                time_point now);
+    void publish_calibration(time_point now);
     [[nodiscard]] std::optional<replica_index> home_of(const version_id& version,
                                                        std::uint64_t prefix) const;
     retry_budget& budget_of(const std::string& service, time_point now);
@@ -307,6 +321,9 @@
     domain_bills bills_;
     std::uint64_t next_bill_{1};
     std::map<std::string, retry_budget> retry_budgets_;
+    engine_calibration calibration_;
+    std::array<time_point, 2> next_calibration_report_{}; ///< by report_scope
+    time_point next_calibration_metrics_{};
     rollout_tracker rollouts_;
     peer_table peers_;
     session_affinity sessions_;
--- a/src/proxy/proxy_core_state.cpp
+++ b/src/proxy/proxy_core_state.cpp
@@ -111,8 +111,13 @@
     }
     confirm_by_peer(report);
     rollouts_.take(report, now);
-    const auto source =
-        report.scope == report_scope::vm ? session_source::member : session_source::other_domain;
+    const bool member = report.scope == report_scope::vm;
+    if (!report.calibration.empty()) {
+        calibration_.take(member ? report.from.vm.value : report.domain.value,
+                          member ? calibration_source::member : calibration_source::other_domain,
+                          report.calibration, now);
+    }
+    const auto source = member ? session_source::member : session_source::other_domain;
     for (const auto& item : report.sessions) {
         sessions_.remember(item.session, item.software, now - item.age, source);
     }
@@ -169,6 +174,11 @@
     rollouts_.fill(report, now);
     report.sessions = sessions_.exposed(
         settings_.rollout, digest ? session_source::member : session_source::self, now);
+    time_point& next = next_calibration_report_[static_cast<std::size_t>(scope)];
+    if (now >= next) {
+        next = now + settings_.calibration_interval;
+        report.calibration = calibration_.report(digest, now);
+    }
     return report;
 }
 
@@ -184,9 +194,29 @@
     }
     refresh_loads(now);
     evaluate_rollouts(now);
+    publish_calibration(now);
     return rollouts_.publications(peers_.rank(stopping_, now), now);
 }
 
+void proxy_core::publish_calibration(time_point now)
+{
+    if (now < next_calibration_metrics_) {
+        return;
+    }
+    next_calibration_metrics_ = now + settings_.calibration_interval;
+    calibration_.sweep(now);
+    for (const engine_key& engine : calibration_.engines()) {
+        const metric_labels labels{{"service", engine.service},
+                                   {"software", engine.software},
+                                   {"model", std::to_string(engine.model)}};
+        const first_token_model model = calibration_.model(engine, now);
+        counters_.level("engine_first_token_base_seconds", labels).set(model.base);
+        counters_.level("engine_prompt_token_seconds", labels).set(model.per_token);
+        counters_.level("engine_load_growth", labels).set(model.load_growth);
+        counters_.level("engine_calibration_answers", labels).set(calibration_.answers(engine));
+    }
+}
+
 void proxy_core::evaluate_rollouts(time_point now)
 {
     std::vector<std::string> routes;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -107,6 +107,7 @@
     head_seen_ = false;
     head_refused_ = false;
     events_ = 0;
+    head_at_.reset();
     first_event_at_.reset();
     sent_at_ = now + pause;
     history_.tried.push_back(placed_->ticket.replica);
@@ -172,6 +173,8 @@
     // A stream that has begun can only be continued by more events, so only by status 200.
     failing_ = head.status >= 500 || (response_started_ && head.status != 200);
     if (!failing_) {
+        head_at_ = now;
+        core_.note_first_token(*placed_, now - sent_at_, now);
         return accept_or_escalate(head, now);
     }
     const attempt_failure failure{error_code::upstream_failed, run_state::ran,
@@ -261,7 +264,7 @@
     }
     attempt_outcome outcome;
     outcome.result = result;
-    outcome.first_token = first_event_at_.value_or(now) - sent_at_;
+    outcome.first_token = head_at_.value_or(now) - sent_at_;
     outcome.total = now - sent_at_;
     outcome.predicted = result == attempt_result::succeeded ? placed_->predicted : duration{0};
     core_.finish(*placed_, outcome, now);
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -129,6 +129,7 @@
     std::uint32_t retries_{0};          ///< decided by retry(), after failures
     std::uint32_t deliveries_{0}; ///< sends that may have reached a replica, refused ones included
     time_point sent_at_;
+    std::optional<time_point> head_at_;        ///< of the current attempt
     std::optional<time_point> first_event_at_; ///< of the current attempt
     time_point last_event_at_;                 ///< of the current attempt
     std::optional<std::uint64_t> last_event_id_;
--- a/src/routing/replica_chooser.cpp
+++ b/src/routing/replica_chooser.cpp
@@ -111,15 +111,18 @@
 }
 
 duration replica_chooser::expected_first_token(const replica_pool& pool, replica_index replica,
-                                               std::uint32_t uncached_tokens, time_point now) const
+                                               std::uint32_t uncached_tokens,
+                                               const first_token_model* timing,
+                                               time_point now) const
 {
     const double capacity = pool.capacity_share(replica, now);
-    return from_seconds(predict(pool, replica, uncached_tokens, capacity) *
+    return from_seconds(predict(pool, replica, uncached_tokens, capacity, timing) *
                         pool.slowness(replica, now));
 }
 
 double replica_chooser::predict(const replica_pool& pool, replica_index replica,
-                                double uncached_tokens, double capacity) const
+                                double uncached_tokens, double capacity,
+                                const first_token_model* timing) const
 {
     const replica_view& it = pool.view(replica);
     const replica_load& counts = pool.load(replica);
@@ -128,11 +131,12 @@
     const duration measured = pool.mean_total(replica);
     const double total = seconds(measured > duration{0} ? measured : settings_.assumed_total);
     const double wait = std::max(0.0, load + 1 - slots) * total / slots;
-    const double batch = 1 + std::min(load / slots, 1.0);
     const double speed = std::max(it.spec.speed, 1e-3);
-    const double prefill = uncached_tokens / (settings_.prefill_tokens_per_second * speed);
-    const double start = seconds(settings_.base_first_token) / speed;
-    return wait + (start + prefill) * batch + 2 * seconds(latency_to(it.distance));
+    const first_token_model configured{seconds(settings_.base_first_token),
+                                       1 / settings_.prefill_tokens_per_second, 1};
+    const first_token_model& model = timing != nullptr ? *timing : configured;
+    const double first = model.seconds({uncached_tokens, std::min(load / slots, 1.0)});
+    return wait + first / speed + seconds(round_trip_to(it.distance));
 }
 
 double replica_chooser::cost_per_mb(locality distance) const
@@ -179,26 +183,27 @@
                                                       replica_index replica) const
 {
     const prefix_match match = context.match(replica);
+    const first_token_model* timing = context.request.timing;
     const double uncached =
-        std::max(0.0, context.request.prompt_tokens - cached_tokens(context, replica)) *
-        context.request.relative_prefill_time;
-    const double at_full_capacity = predict(context.pool, replica, uncached, 1);
+        std::max(0.0, context.request.prompt_tokens - cached_tokens(context, replica));
+    const double at_full_capacity = predict(context.pool, replica, uncached, 1, timing);
     const double capacity_share = context.pool.capacity_share(replica, context.now);
-    const double with_slow_start = capacity_share < 1
-                                       ? predict(context.pool, replica, uncached, capacity_share)
-                                       : at_full_capacity;
+    const double with_slow_start =
+        capacity_share < 1 ? predict(context.pool, replica, uncached, capacity_share, timing)
+                           : at_full_capacity;
     const double time = with_slow_start * context.pool.slowness(replica, context.now);
     const locality distance = context.pool.view(replica).distance;
     const double bytes = context.request.request_bytes + context.request.answer_bytes;
     const double link_cost = bytes / bytes_per_mb * cost_per_mb(distance);
-    const double cost = link_cost + uncached / context.request.relative_prefill_time / 1000 *
-                                        context.request.cost_per_1k_input;
+    const double cost = link_cost + uncached / 1000 * context.request.cost_per_1k_input;
     scored_choice result;
     result.value.replica = replica;
     result.value.distance = distance;
     result.value.expected_first_token = from_seconds(time);
     result.value.predicted = from_seconds(at_full_capacity);
     result.value.prefix_blocks = match.blocks;
+    result.value.uncached_tokens = uncached;
+    result.value.load = estimate_load(context.pool.load(replica), settings_);
     result.score = settings_.latency_weight * time + settings_.cost_weight * cost;
     return result;
 }
--- a/src/routing/replica_chooser.hpp
+++ b/src/routing/replica_chooser.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.hpp"
+#include "calibration/first_token_fit.hpp"
 #include "routing/link_budget.hpp"
 #include "routing/prefix_index.hpp"
 #include "routing/replica_pool.hpp"
@@ -78,8 +79,9 @@
     /// assumed to hold when the index has no match for it.
     std::optional<replica_index> prefix_home{};
     std::uint32_t home_blocks{0};
-    double relative_prefill_time{1}; ///< time per prompt token, relative to a standard model
-    duration first_token_target{};   ///< 0: use `remote_after` of the settings
+    /// Measured times of the version; nullptr: those of the settings.
+    const first_token_model* timing{nullptr};
+    duration first_token_target{}; ///< 0: use `remote_after` of the settings
 };
 
 struct choice {
@@ -88,7 +90,9 @@
     duration expected_first_token{};
     duration predicted{}; ///< first-token time without slowness; for attempt_outcome::predicted
     std::uint32_t prefix_blocks{0};
-    double link_bytes{0}; ///< bytes to spend from the link budget
+    double link_bytes{0};      ///< bytes to spend from the link budget
+    double uncached_tokens{0}; ///< prompt tokens that the replica is expected to process
+    double load{0};            ///< estimated requests at the replica before this one
 };
 
 /// Estimates the requests at a replica: the last load report, plus the attempts that this VM sent
@@ -111,7 +115,13 @@
     /// Returns the expected time until the first token of a replica, including its slowness.
     [[nodiscard]] duration expected_first_token(const replica_pool& pool, replica_index replica,
                                                 std::uint32_t uncached_tokens,
+                                                const first_token_model* timing,
                                                 time_point now) const;
+    /// Returns the time for a message to a replica and its answer on the network.
+    [[nodiscard]] duration round_trip_to(locality distance) const
+    {
+        return 2 * latency_to(distance);
+    }
 
 private:
     struct search_context;
@@ -124,7 +134,8 @@
     /// Returns the predicted first-token time in seconds. `capacity`: fraction of the
     /// slots that may be used.
     [[nodiscard]] double predict(const replica_pool& pool, replica_index replica,
-                                 double uncached_tokens, double capacity) const;
+                                 double uncached_tokens, double capacity,
+                                 const first_token_model* timing) const;
     [[nodiscard]] duration latency_to(locality distance) const;
     [[nodiscard]] double cost_per_mb(locality distance) const;
     void search(search_context& context, locality distance, std::mt19937_64& generator,
--- a/src/routing/replica_chooser_test.cpp
+++ b/src/routing/replica_chooser_test.cpp
@@ -156,8 +156,8 @@
         RC_ASSERT(made.has_value());
         duration least = duration::max();
         for (const replica_index replica : pool_.members(versions[0], made->distance)) {
-            least =
-                std::min(least, chooser.expected_first_token(pool_, replica, 800, clock_.now()));
+            least = std::min(
+                least, chooser.expected_first_token(pool_, replica, 800, nullptr, clock_.now()));
         }
         RC_ASSERT(made->expected_first_token == least);
         (void)pool_.begin(made->replica, clock_.now());
