Read what was compiled in of the first two deployments

Escalation estimated the larger model's time as if no part of the prompt were cached, so that large prompts got answers of a model too small.

Escalation asks the chooser which replica it would take and how long that one would need with what it has cached. The tests' deployment states its 11 VMs itself.

--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -29,6 +29,7 @@
 constexpr double prompt_token_share = 0.25;
 /// Short, because another VM can take the request at once.
 constexpr duration stop_retry_after = 10ms;
+constexpr double unlimited_bytes_per_second = 1e12;
 
 /// Combines two 64-bit numbers into a hash that spreads chained identifiers over the index.
 std::uint64_t combine_hashes(std::uint64_t seed, std::uint64_t value)
@@ -58,6 +59,15 @@
     return out;
 }
 
+/// Until the other VMs are known, this VM uses the link as one of `minimum_vm_count`.
+link_settings link_limit(const proxy_settings& settings)
+{
+    if (settings.link_bytes_per_second <= 0) {
+        return {.bytes_per_second = unlimited_bytes_per_second};
+    }
+    return {.bytes_per_second = settings.link_bytes_per_second / settings.minimum_vm_count};
+}
+
 } // namespace
 
 proxy_core::proxy_core(proxy_settings settings, metrics& registry, time_point now)
@@ -65,8 +75,8 @@
       generator_{settings_.seed}, schedule_{settings_.reading}, directory_{settings_.directory,
                                                                            settings_.regions},
       pool_{settings_.pool}, chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
-      link_{{.bytes_per_second = settings_.link_bytes_per_second}, now}, retries_{settings_.retry},
-      cascade_{settings_.models}, bills_{settings_.self, settings_.report_address, settings_.bills},
+      link_{link_limit(settings_), now}, retries_{settings_.retry}, cascade_{settings_.models},
+      bills_{settings_.self, settings_.report_address, settings_.bills},
       calibration_{settings_.calibration}, rollouts_{settings_.self, settings_.rollout},
       peers_{{settings_.self, settings_.report_address, settings_.failure_domain,
               settings_.peer_timeout}},
@@ -139,10 +149,15 @@
     return it->second;
 }
 
-double proxy_core::repeat_capacity() const
+double proxy_core::sharing_vms() const
 {
     const double vms = (static_cast<double>(peers_.known()) + 1) * settings_.vm_growth_factor;
-    return settings_.repeat_slack / std::max(settings_.minimum_vm_count, vms);
+    return std::max(settings_.minimum_vm_count, vms);
+}
+
+double proxy_core::repeat_capacity() const
+{
+    return settings_.repeat_slack / sharing_vms();
 }
 
 void proxy_core::count_request(const admission& admitted, time_point now)
@@ -231,20 +246,9 @@
                                           const proxied_request& request, std::size_t model,
                                           time_point now)
 {
-    const version_id version = software_version_id(admitted.service, software);
-    const first_token_model timing = timing_of(admitted.service, software, model, now);
-    std::optional<duration> best;
-    for (const auto distance : {locality::domain, locality::region}) {
-        for (const replica_index replica : pool_.members(version, distance)) {
-            if (!pool_.admits(replica, now)) {
-                continue;
-            }
-            const duration expected =
-                chooser_.expected_first_token(pool_, replica, request.prompt_tokens, &timing, now);
-            best = best ? std::min(*best, expected) : expected;
-        }
-    }
-    return best.value_or(duration::max());
+    const auto chosen = choose_replica(admitted, request, {}, software, model,
+                                       prefix_hash_chain(request, model), now);
+    return chosen ? chosen->expected_first_token : duration::max();
 }
 
 std::optional<std::size_t> proxy_core::escalate(const admission& admitted,
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -118,12 +118,13 @@
     /// A peer that has not reported for this time counts as gone.
     duration peer_timeout{2s};
     reading_settings reading{};
-    double link_bytes_per_second{0}; ///< this VM's share of the link between regions
+    /// Rate of the link between regions that all VMs share; 0: unknown, and not limited.
+    double link_bytes_per_second{0};
     /// Repeats that all VMs together may make within the budget's window beyond the share of
-    /// requests, and the smallest number of VMs to divide them among: present VMs and spares.
+    /// requests, and the smallest number of VMs to divide them among.
     double repeat_slack{50};
-    double minimum_vm_count{11};
-    double vm_growth_factor{1.25}; ///< multiple of the known VMs, as further ones may join
+    double minimum_vm_count{3};
+    double vm_growth_factor{1.4}; ///< multiple of the known VMs, as further ones may join
     chooser_settings chooser{};
     pool_settings pool{};
     directory_settings directory{};
@@ -134,7 +135,7 @@
     duration calibration_interval{1s};
     retry_settings retry{};
     domain_bill_settings bills{};
-    double prefill_cost{0.06}; ///< money units per 1000 prompt tokens
+    double prefill_cost{0}; ///< money units per 1000 prompt tokens
     std::size_t prefix_entries{std::size_t{16} * 1024};
     std::uint64_t seed{1};
 };
@@ -274,6 +275,7 @@
     [[nodiscard]] first_token_model timing_of(const std::string& service,
                                               const std::string& software, std::size_t model,
                                               time_point now);
+    /// Expected time to the first token of a model at the replica that would be chosen for it.
     [[nodiscard]] duration expected_first_token(const admission& admitted,
                                                 const std::string& software,
                                                 const proxied_request& request, std::size_t model,
@@ -282,6 +284,8 @@
     [[nodiscard]] std::optional<replica_index> home_of(const version_id& version,
                                                        std::uint64_t prefix) const;
     retry_budget& budget_of(const std::string& service, time_point now);
+    /// Number of VMs that may share the limits of the whole deployment.
+    [[nodiscard]] double sharing_vms() const;
     /// This VM's share of `repeat_slack`.
     [[nodiscard]] double repeat_capacity() const;
     void remember_session(std::uint64_t session, const placement& placed,
--- a/src/proxy/proxy_core_state.cpp
+++ b/src/proxy/proxy_core_state.cpp
@@ -188,6 +188,9 @@
     for (auto& [service, budget] : retry_budgets_) {
         budget.set_capacity(repeat_capacity());
     }
+    if (settings_.link_bytes_per_second > 0) {
+        link_.set_rate(settings_.link_bytes_per_second / sharing_vms(), now);
+    }
     sessions_.sweep(now);
     if (directory_.tick(now)) {
         refresh_pool(now);
--- a/src/proxy/test_proxy.hpp
+++ b/src/proxy/test_proxy.hpp
@@ -53,6 +53,7 @@
     out.retry.budget_window = 10s;
     out.retry.budget_share = 0.8;
     out.repeat_slack = 55;
+    out.minimum_vm_count = 11;
     out.retry.max_retries = 8;
     out.retry.restart_unsent = true;
     out.pool.failure_domain = out.failure_domain;
--- a/src/routing/link_budget.cpp
+++ b/src/routing/link_budget.cpp
@@ -21,6 +21,13 @@
     return std::min(capacity, level_ + settings_.bytes_per_second * elapsed);
 }
 
+void link_budget::set_rate(double bytes_per_second, time_point now)
+{
+    level_ = available(now);
+    updated_ = std::max(updated_, now);
+    settings_.bytes_per_second = bytes_per_second;
+}
+
 void link_budget::spend(double bytes, time_point now)
 {
     level_ = available(now) - bytes;
--- a/src/routing/link_budget.hpp
+++ b/src/routing/link_budget.hpp
@@ -27,6 +27,8 @@
     [[nodiscard]] bool fits(double bytes, time_point now) const;
     /// Returns the bytes that may be sent now; negative after a response was larger than estimated.
     [[nodiscard]] double available(time_point now) const;
+    /// Changes the rate from now on.
+    void set_rate(double bytes_per_second, time_point now);
     /// Subtracts `bytes`, even if more than available: bytes already on the wire always count.
     void spend(double bytes, time_point now);
     /// Returns the total of bytes spent.
