Bound what servers in trouble can do, and check permissions when a request is sent

Found with tests over real sockets that failed before: - A late copy of an earlier refusal, on a connection in use again, was taken as "not run" for the current request: a request that may have run was answered 503. An answer with the id of another request now leaves the outcome unknown. - Chunk sizes, chunk extensions and trailers without end were buffered without bound (32 MB taken in the test before it gave up); informational answers (1xx) were taken as the answer. Bytes that belong to no body are limited, and informational answers are skipped. - A VM that was suspended between the decision to send and the open connection (or during the pause before a retry) sent the request with a key that may have been revoked meanwhile. The key's validity and the age of the decision are checked again right before the first byte is written. - A stream whose replica sent only comments or parts of events lasted until the caller's deadline. A stream without an event for four times the pause that its route calls on time (2 s at least) goes on at another replica where it may; otherwise it waits, so that a slow but sound stream is not cut. - A planned stop closed connections on which a request had arrived but was not read yet, counted half-read requests as nothing, and reset connections that waited to be accepted. - Idle connections to replicas that had left stayed open for good, since only a new request to the address closed them.

Ruled out by tests that passed at once: endless text, heads, reason phrases, header lines, bodies and events.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -27,6 +27,10 @@
 namespace {
 
 constexpr std::size_t read_size = std::size_t{16} * 1024;
+/// Interval at which idle connections are checked.
+constexpr duration expiry_interval = 1s;
+/// Framing bytes accepted for each byte of the body; a chunk of one byte has five.
+constexpr std::size_t framing_per_body_byte = 8;
 
 class exchange;
 
@@ -115,6 +119,13 @@
     return out;
 }
 
+bool is_informational(unsigned status)
+{
+    constexpr unsigned first = 100;
+    constexpr unsigned last = 199;
+    return status >= first && status <= last;
+}
+
 } // namespace
 
 struct http_client::state : std::enable_shared_from_this<state> {
@@ -129,13 +140,20 @@
     void add_active(exchange* call);
     void schedule_sweep();
     void sweep();
+    void close_expired_connections(time_point now);
+    [[nodiscard]] duration idle_limit_of(const connection& conn) const
+    {
+        // The server measures its idle timeout from when it sent its response, which is earlier
+        // than idle_since. Using half of the timeout leaves a margin for that.
+        return std::min(settings.idle_timeout, conn.idle_limit / 2);
+    }
 
     asio::io_context& io;
     http_client_settings settings;
     input_sender* sender;
     asio::steady_timer timer;
     std::uint64_t opened{0};
-    bool sweeping{false};
+    time_point next_expiry{};
     bool closed{false};
     std::unordered_set<exchange*> active;
     std::unordered_map<std::string, std::vector<connection_ptr>> idle;
@@ -163,11 +181,15 @@
     void connect();
     void on_connected(boost_error ec);
     void write();
+    void fail_before_sending();
     void on_written(boost_error ec, std::size_t n);
     void read();
     void on_read(boost_error ec, std::size_t n);
     void on_end_of_file();
+    void reset_parser();
     bool parse();
+    bool parse_available();
+    [[nodiscard]] bool exceeds_framing_limit() const;
     void report_header();
     void report_body();
     void complete();
@@ -180,13 +202,16 @@
     connection_ptr connection_;
     std::string request_text_;
     beast::flat_buffer buffer_;
-    http::response_parser<http::string_body> parser_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    std::size_t received_bytes_{0};
+    std::size_t body_bytes_{0};
     call_stage stage_{call_stage::connecting};
     time_point started_;
     time_point deadline_;
     bool written_{false};
     bool request_sent_{false}; ///< the whole request was written to the connection
     bool timed_out_{false};
+    bool withdrawn_{false};
     bool ended_{false};
     bool header_reported_{false};
 };
@@ -194,14 +219,20 @@
 exchange::exchange(std::shared_ptr<http_client::state> owner, http_call call, http_hooks hooks)
     : owner_{std::move(owner)}, call_{std::move(call)}, hooks_{std::move(hooks)}
 {
-    parser_.eager(true);
-    parser_.skip(call_.method == "HEAD");
-    parser_.header_limit(static_cast<std::uint32_t>(owner_->settings.header_limit));
+    reset_parser();
+}
+
+void exchange::reset_parser()
+{
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->skip(call_.method == "HEAD");
+    parser_->header_limit(static_cast<std::uint32_t>(owner_->settings.header_limit));
     if (call_.body_limit == 0) {
-        parser_.body_limit(boost::none);
+        parser_->body_limit(boost::none);
     }
     else {
-        parser_.body_limit(call_.body_limit);
+        parser_->body_limit(call_.body_limit);
     }
 }
 
@@ -219,7 +250,6 @@
     connection_ = owner_->take_idle_connection(call_.address, call_.reuse_within);
     if (connection_) {
         write();
-        read();
         return;
     }
     connect();
@@ -255,11 +285,14 @@
     connection_->socket.set_option(tcp::no_delay{true}, ec);
     set_peer_timeouts(connection_->socket, owner_->settings.unacknowledged_timeout);
     write();
-    read();
 }
 
 void exchange::write()
 {
+    if (hooks_.may_send && !hooks_.may_send()) {
+        fail_before_sending();
+        return;
+    }
     stage_ = call_stage::sending;
     deadline_ = started_ + call_.first_byte_timeout;
     const std::array<asio::const_buffer, 2> parts{
@@ -270,6 +303,17 @@
     asio::async_write(
         connection_->socket, parts,
         [self = shared_from_this()](boost_error ec, std::size_t n) { self->on_written(ec, n); });
+    read();
+}
+
+// Reports the failure later, since hooks must not run within http_client::start().
+void exchange::fail_before_sending()
+{
+    withdrawn_ = true;
+    connection_.reset();
+    asio::post(owner_->io, [self = shared_from_this()] {
+        self->fail("The request was withdrawn before it was sent.");
+    });
 }
 
 void exchange::on_written(boost_error ec, std::size_t n)
@@ -320,6 +364,7 @@
         return;
     }
     buffer_.commit(n);
+    received_bytes_ += n;
     stage_ = call_stage::receiving;
     if (parse() && !ended_) {
         read();
@@ -329,10 +374,10 @@
 void exchange::on_end_of_file()
 {
     boost_error ec;
-    if (parser_.got_some()) {
-        parser_.put_eof(ec);
+    if (parser_->got_some()) {
+        parser_->put_eof(ec);
     }
-    if (parser_.is_done() && !ec) {
+    if (parser_->is_done() && !ec) {
         complete();
         return;
     }
@@ -341,33 +386,56 @@
 
 bool exchange::parse()
 {
-    while (buffer_.size() > 0 && !parser_.is_done()) {
+    if (!parse_available()) {
+        return false;
+    }
+    report_header();
+    report_body();
+    if (!ended_ && parser_->is_done()) {
+        complete();
+    }
+    if (!ended_ && exceeds_framing_limit()) {
+        fail("The response has more bytes that belong to no body than are accepted.");
+    }
+    return !ended_;
+}
+
+// Informational responses (status 1xx) precede the response and are skipped.
+bool exchange::parse_available()
+{
+    while (buffer_.size() > 0 && !parser_->is_done()) {
         boost_error ec;
-        const std::size_t n = parser_.put(buffer_.data(), ec);
+        const std::size_t n = parser_->put(buffer_.data(), ec);
         buffer_.consume(n);
         if (ec && ec != http::error::need_more) {
             fail(ec.message());
             return false;
         }
+        if (parser_->is_done() && is_informational(parser_->get().result_int())) {
+            reset_parser();
+            continue;
+        }
         if (ec == http::error::need_more || n == 0) {
             break;
         }
     }
-    report_header();
-    report_body();
-    if (!ended_ && parser_.is_done()) {
-        complete();
-    }
-    return !ended_;
+    return true;
+}
+
+bool exchange::exceeds_framing_limit() const
+{
+    const http_client_settings& limits = owner_->settings;
+    return received_bytes_ - body_bytes_ >
+           limits.header_limit + limits.framing_limit + framing_per_body_byte * body_bytes_;
 }
 
 void exchange::report_header()
 {
-    if (ended_ || header_reported_ || !parser_.is_header_done()) {
+    if (ended_ || header_reported_ || !parser_->is_header_done()) {
         return;
     }
     header_reported_ = true;
-    const auto& head = parser_.get();
+    const auto& head = parser_->get();
     answer_head out;
     out.status = head.result_int();
     out.content_type = std::string{head[http::field::content_type]};
@@ -385,12 +453,13 @@
 
 void exchange::report_body()
 {
-    if (ended_ || !header_reported_ || parser_.get().body().empty()) {
+    if (ended_ || !header_reported_ || parser_->get().body().empty()) {
         return;
     }
     deadline_ = clock_now() + call_.progress_timeout;
     std::string data;
-    data.swap(parser_.get().body());
+    data.swap(parser_->get().body());
+    body_bytes_ += data.size();
     if (hooks_.on_data) {
         hooks_.on_data(data);
     }
@@ -401,7 +470,7 @@
     if (ended_) {
         return;
     }
-    const bool reusable = request_sent_ && parser_.keep_alive() && buffer_.size() == 0;
+    const bool reusable = request_sent_ && parser_->keep_alive() && buffer_.size() == 0;
     mark_ended();
     if (reusable) {
         owner_->keep_idle_connection(call_.address, std::move(connection_));
@@ -416,7 +485,7 @@
         return;
     }
     mark_ended();
-    const call_failure failure{stage_, written_, timed_out_,
+    const call_failure failure{stage_, written_, timed_out_, withdrawn_,
                                timed_out_ ? "The deadline passed without progress." : detail};
     connection_.reset();
     const auto hooks = std::exchange(hooks_, {});
@@ -465,9 +534,7 @@
     while (!it->second.empty()) {
         connection_ptr conn = std::move(it->second.back());
         it->second.pop_back();
-        // The server measures its idle timeout from when it sent its response, which is earlier
-        // than idle_since. Using half of the timeout leaves a margin for that.
-        const duration limit = std::min(settings.idle_timeout, conn->idle_limit / 2);
+        const duration limit = idle_limit_of(*conn);
         const duration idle_for = now - conn->idle_since;
         if (idle_for > limit || !is_open_without_unread_data(conn->socket)) {
             continue;
@@ -495,16 +562,16 @@
 
 void http_client::state::add_active(exchange* call)
 {
+    const bool slow = active.empty();
     active.insert(call);
-    if (!sweeping) {
-        sweeping = true;
+    if (slow) {
         schedule_sweep();
     }
 }
 
 void http_client::state::schedule_sweep()
 {
-    timer.expires_after(settings.sweep_interval);
+    timer.expires_after(active.empty() ? expiry_interval : settings.sweep_interval);
     timer.async_wait([self = shared_from_this()](boost_error ec) {
         if (!ec) {
             self->sweep();
@@ -518,11 +585,26 @@
     for (exchange* call : active) {
         call->check_deadline(now);
     }
-    if (active.empty()) {
-        sweeping = false;
+    close_expired_connections(now);
+    if (!active.empty() || !idle.empty()) {
+        schedule_sweep();
+    }
+}
+
+// Connections to servers that have left would otherwise stay open for good, since nothing takes
+// them from the pool again.
+void http_client::state::close_expired_connections(time_point now)
+{
+    if (now < next_expiry) {
         return;
     }
-    schedule_sweep();
+    next_expiry = now + expiry_interval;
+    for (auto& [address, kept] : idle) {
+        std::erase_if(kept, [&](const connection_ptr& conn) {
+            return now - conn->idle_since > idle_limit_of(*conn);
+        });
+    }
+    std::erase_if(idle, [](const auto& item) { return item.second.empty(); });
 }
 
 http_client::http_client(asio::io_context& io, http_client_settings settings, input_sender* sender)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -30,6 +30,7 @@
     call_stage stage{call_stage::connecting};
     bool written{false};   ///< at least one byte of the request may have been sent
     bool timed_out{false}; ///< a deadline passed; otherwise the connection failed
+    bool withdrawn{false}; ///< http_hooks::may_send returned false
     std::string detail;
 };
 
@@ -63,13 +64,19 @@
     std::function<void(answer_head)> on_header;
     std::function<void(std::string_view)> on_data;
     std::function<void(const call_failure*)> on_end; ///< nullptr: the response is complete
+    /// Asked right before the first byte of the request is written; if it returns false, the call
+    /// fails with nothing written. Not set: always.
+    std::function<bool()> may_send{};
 };
 
 struct http_client_settings {
     duration connect_timeout{1s};
-    duration idle_timeout{30s}; ///< a connection that is idle for longer is not reused
+    duration idle_timeout{30s}; ///< a connection that is idle for longer is closed
     std::size_t idle_per_address{64};
     std::size_t header_limit{std::size_t{16} * 1024};
+    /// Most bytes of a response that are neither header nor body: chunk sizes and extensions,
+    /// trailers and informational responses. Grows with the body.
+    std::size_t framing_limit{std::size_t{64} * 1024};
     duration sweep_interval{20ms};
     /// The connection fails when sent data stays unacknowledged for longer, or when it is idle for
     /// that long and its peer does not answer keep-alive probes; 0: the system's defaults.
--- a/src/net/proxy/proxied_connection.cpp
+++ b/src/net/proxy/proxied_connection.cpp
@@ -108,6 +108,11 @@
     if (closed_) {
         return;
     }
+    if (ec == asio::error::operation_aborted && std::exchange(closing_when_idle_, false) &&
+        (busy() || receiving())) {
+        read();
+        return;
+    }
     if (ec) {
         close();
         return;
@@ -314,12 +319,26 @@
     next_request();
 }
 
+bool proxied_connection::receiving() const
+{
+    if (answering_ || close_after_write_) {
+        return false;
+    }
+    boost_error ec;
+    const bool unread = socket_.available(ec) > 0 && !ec;
+    return unread || !inbound_.empty() || (parser_ && parser_->got_some());
+}
+
+// The read under way may have received bytes that on_read() has not seen yet. Cancelling it tells:
+// on_read() gets either the bytes or operation_aborted.
 void proxied_connection::close_when_idle()
 {
-    const bool receiving = parser_ && parser_->got_some() && !answering_;
-    if (!busy() && !receiving) {
-        close();
+    if (busy() || receiving()) {
+        return;
     }
+    closing_when_idle_ = true;
+    boost_error ignored;
+    socket_.cancel(ignored);
 }
 
 void proxied_connection::close()
--- a/src/net/proxy/proxied_connection.hpp
+++ b/src/net/proxy/proxied_connection.hpp
@@ -29,6 +29,7 @@
 
     void accept();
     void on_accepted(boost::system::error_code ec, detail::tcp_socket socket);
+    void begin_connection(detail::tcp_socket socket);
 
     proxy_context& context;
     proxy_server_settings settings;
@@ -45,8 +46,10 @@
 
     void begin();
     void close();
-    /// Closes at once when no answer is due, else after the answer.
+    /// Closes at once when no answer is due and no request is arriving, else after the answer.
     void close_when_idle();
+    /// True while a part of a request has arrived, also if it has not been read yet.
+    [[nodiscard]] bool receiving() const;
     /// True while an answer is due or not yet written out.
     [[nodiscard]] bool busy() const { return exchange_ != nullptr || answering_ || writing_; }
 
@@ -85,6 +88,7 @@
     bool keep_alive_{true};
     bool head_checked_{false};
     bool close_after_write_{false};
+    bool closing_when_idle_{false}; ///< the read was cancelled by close_when_idle()
     bool closed_{false};
 };
 
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -77,6 +77,7 @@
     cancel_call();
     context_.deadlines.cancel(deadline_);
     context_.deadlines.cancel(pause_timer_);
+    context_.deadlines.cancel(stall_timer_);
 }
 
 void proxied_exchange::start()
@@ -195,6 +196,10 @@
             it->on_end(failure);
         }
     };
+    hooks.may_send = [self] {
+        const auto it = self.lock();
+        return it && it->flow_.may_send(it->context_.clock());
+    };
     call_ = context_.upstreams.start(make_call(step), std::move(hooks));
 }
 
@@ -213,6 +218,10 @@
     auto step = flow_.on_head(head_info, context_.clock());
     if (std::holds_alternative<relay_step>(step)) {
         relay_mode_ = stream ? relay_mode::stream : relay_mode::whole;
+        if (stream) {
+            last_event_at_ = context_.clock();
+            watch_for_stall();
+        }
         return;
     }
     log_answer_dropped(head_info, replica);
@@ -227,8 +236,8 @@
     if (relay_mode_ == relay_mode::whole) {
         buffered_body_.append(bytes);
         if (buffered_body_.size() > whole_answer_limit) {
-            fail_attempt(error_code::upstream_failed, run_state::ran,
-                         "The answer exceeds what this VM can buffer.");
+            fail_attempt({error_code::upstream_failed, run_state::ran,
+                          "The answer exceeds what this VM can buffer."});
         }
         return;
     }
@@ -245,13 +254,15 @@
         if (flow_.is_new(event.id)) {
             new_events.append(event.bytes);
             flow_.on_event(event.id, now);
+            // A comment has no id and is no progress.
+            last_event_at_ = event.id ? now : last_event_at_;
         }
     });
     if (!new_events.empty()) {
         write_events(new_events);
     }
     if (!within_limit) {
-        fail_attempt(error_code::stream_broken, run_state::ran, "An event exceeds the limit.");
+        fail_attempt({error_code::stream_broken, run_state::ran, "An event exceeds the limit."});
     }
 }
 
@@ -299,8 +310,8 @@
         return;
     }
     if (failure == nullptr) {
-        fail_attempt(error_code::stream_broken, run_state::ran,
-                     "The stream ended within an event.");
+        fail_attempt(
+            {error_code::stream_broken, run_state::ran, "The stream ended within an event."});
         return;
     }
     const bool begun = failure->stage == detail::call_stage::receiving;
@@ -313,12 +324,11 @@
     else if (failure->timed_out && failure->written) {
         code = error_code::upstream_timeout;
     }
-    fail_attempt(code, run, failure->detail);
+    fail_attempt({code, run, failure->detail, failure->withdrawn});
 }
 
-void proxied_exchange::fail_attempt(error_code code, run_state run, std::string detail)
+void proxied_exchange::fail_attempt(const attempt_failure& failure)
 {
-    const attempt_failure failure{code, run, std::move(detail)};
     log_attempt_failed(failure);
     perform(flow_.on_failure(failure, context_.clock()));
 }
@@ -395,6 +405,41 @@
     }
 }
 
+// One timer a stream is enough: it is set again for the rest of the time when an event arrived.
+void proxied_exchange::watch_for_stall()
+{
+    context_.deadlines.cancel(stall_timer_);
+    const duration silent = context_.clock() - last_event_at_;
+    const duration wait = std::max<duration>(1ms, flow_.stall_timeout() - silent);
+    stall_timer_ = context_.deadlines.after(wait, [self = weak_from_this()] {
+        if (const auto it = self.lock()) {
+            it->on_stall();
+        }
+    });
+}
+
+void proxied_exchange::on_stall()
+{
+    if (ended_ || relay_mode_ != relay_mode::stream) {
+        return;
+    }
+    const time_point now = context_.clock();
+    if (now - last_event_at_ < flow_.stall_timeout()) {
+        watch_for_stall();
+        return;
+    }
+    const std::string replica = flow_.placed() ? flow_.placed()->upstream.value : std::string{};
+    auto step = flow_.on_stall(now);
+    context_.counters.count("proxied_streams_stalled_total").add();
+    context_.log.write("stream_stalled", {{"id", flow_.request().id},
+                                          {"replica", replica},
+                                          {"silent_ms", to_milliseconds(now - last_event_at_)},
+                                          {"continued", step.has_value()}});
+    if (step) {
+        perform(std::move(*step));
+    }
+}
+
 void proxied_exchange::on_caller_gone()
 {
     if (ended_) {
@@ -409,6 +454,7 @@
 void proxied_exchange::cancel_call()
 {
     context_.deadlines.cancel(pause_timer_);
+    context_.deadlines.cancel(stall_timer_);
     if (call_) {
         call_->cancel();
         call_.reset();
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -71,11 +71,13 @@
     void on_data(std::string_view bytes);
     void on_end(const detail::call_failure* failure);
     void relay_events(std::string_view bytes);
-    void fail_attempt(error_code code, run_state run, std::string detail);
+    void fail_attempt(const attempt_failure& failure);
     void write_head(std::optional<std::size_t> length);
     void write_events(std::string_view events);
     void finish_answer();
     void on_deadline();
+    void watch_for_stall();
+    void on_stall();
     void cancel_call();
     void end();
     void log_answer_dropped(const response_head& head, const std::string& replica);
@@ -92,6 +94,8 @@
     detail::http_call_ptr call_;
     deadline_queue::handle deadline_{};
     deadline_queue::handle pause_timer_{};
+    deadline_queue::handle stall_timer_{};
+    time_point last_event_at_; ///< or the head of the stream
     relay_mode relay_mode_{relay_mode::none};
     detail::answer_head answer_; ///< of the attempt that is relayed
     bool head_written_{false};
--- a/src/net/proxy/proxy_server.cpp
+++ b/src/net/proxy/proxy_server.cpp
@@ -40,15 +40,22 @@
         });
         return;
     }
-    if (connections.size() < settings.connection_limit) {
-        socket.set_option(detail::tcp::no_delay{true}, ec);
-        auto connection = std::make_shared<detail::proxied_connection>(*this, std::move(socket));
-        connections.insert(connection);
-        connection->begin();
-    }
+    begin_connection(std::move(socket));
     accept();
 }
 
+void proxy_server::state::begin_connection(detail::tcp_socket socket)
+{
+    if (connections.size() >= settings.connection_limit) {
+        return;
+    }
+    boost_error ignored;
+    socket.set_option(detail::tcp::no_delay{true}, ignored);
+    auto connection = std::make_shared<detail::proxied_connection>(*this, std::move(socket));
+    connections.insert(connection);
+    connection->begin();
+}
+
 proxy_server::proxy_server(proxy_context& context, proxy_server_settings settings)
     : state_{std::make_shared<state>(context, std::move(settings))}
 {
@@ -96,7 +103,24 @@
 
 bool proxy_server::quiet() const
 {
-    return std::ranges::none_of(state_->connections, [](const auto& it) { return it->busy(); });
+    return std::ranges::none_of(state_->connections,
+                                [](const auto& it) { return it->busy() || it->receiving(); });
+}
+
+// Closing the listening socket resets the connections that wait in its queue, so they are accepted
+// first.
+void proxy_server::stop_accepting()
+{
+    boost_error ec;
+    state_->acceptor.non_blocking(true, ec);
+    while (!ec && state_->acceptor.is_open()) {
+        detail::tcp_socket socket{state_->acceptor.get_executor()};
+        state_->acceptor.accept(socket, ec);
+        if (!ec) {
+            state_->begin_connection(std::move(socket));
+        }
+    }
+    state_->acceptor.close(ec);
 }
 
 std::size_t proxy_server::connections() const
--- a/src/net/proxy/proxy_server.hpp
+++ b/src/net/proxy/proxy_server.hpp
@@ -49,8 +49,12 @@
     expected<void> start();
     [[nodiscard]] std::string address() const;
     void drain();
-    /// Closes connections without a pending answer; the others close after their answer.
+    /// Closes connections without a pending answer on which no request is arriving; the others
+    /// close after their answer.
     void close_idle();
+    /// Accepts the connections that wait and no further ones.
+    void stop_accepting();
+    /// Whether no answer is pending and no request is arriving.
     [[nodiscard]] bool quiet() const;
     [[nodiscard]] std::size_t connections() const;
 
--- a/src/net/proxy/proxy_server_test.cpp
+++ b/src/net/proxy/proxy_server_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <sstream>
@@ -44,6 +46,7 @@
         for (const auto& [name, value] : head.headers) {
             parsed_head.request_id_matches =
                 name == "X-Id" ? value == request.id : parsed_head.request_id_matches;
+            parsed_head.of_other_request = !parsed_head.request_id_matches;
             parsed_head.not_run = parsed_head.not_run || name == "X-Not-Run";
         }
         return parsed_head;
@@ -113,6 +116,21 @@
         }
         return found;
     }
+    void poll()
+    {
+        io_.restart();
+        io_.poll();
+    }
+    [[nodiscard]] std::size_t requests_received() const
+    {
+        std::size_t n = 0;
+        for (const auto* listener : {&first_, &second_}) {
+            for (const auto& it : listener->connections) {
+                n += count_of(it->received, " HTTP/1.1\r\n");
+            }
+        }
+        return n;
+    }
     bool wait_for_caller_text(const std::string& text)
     {
         const bool got =
@@ -121,7 +139,8 @@
         return got;
     }
 
-    clock_source clock_{boot_clock_source()};
+    duration suspended_{0}; ///< how far the clock has jumped ahead
+    clock_source clock_{[this, boot = boot_clock_source()] { return boot() + suspended_; }};
     scripted_listener first_{io_};
     scripted_listener second_{io_};
     std::string log_output_;
@@ -328,6 +347,132 @@
     EXPECT_TRUE(pump_until([&] { return count_of(caller_->received, "200 OK") == 2; }));
 }
 
+// A late copy of an earlier refusal does not say that the current request was not run.
+TEST_F(proxy_server_test, late_refusal_of_an_earlier_request_does_not_make_a_post_run_twice)
+{
+    post("/publish/x", "p");
+    const auto replica = wait_for_request(1);
+    replica->write(small_answer);
+    ASSERT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+    post("/publish/x", "p");
+    const auto next = wait_for_request(2);
+    next->write("HTTP/1.1 503 Service Unavailable\r\nX-Id: earlier\r\nX-Not-Run: 1\r\n"
+                "Content-Length: 0\r\n\r\n");
+    ASSERT_TRUE(wait_for_caller_text("HTTP/1.1 502"));
+    EXPECT_NE(caller_->received.find("X-Run: outcome_unknown"), std::string::npos);
+    EXPECT_EQ(requests_received(), 2U) << "The request may have run and must not be sent again.";
+}
+
+/// Bytes that follow the request without end, until the connection is closed.
+struct endless_answer {
+    const char* name;
+    std::string begin;
+    std::string repeated;
+};
+
+class endless_answer_test : public proxy_server_test,
+                            public testing::WithParamInterface<endless_answer> {
+protected:
+    /// Writes until this end of the connection is closed or `limit` bytes were taken.
+    static std::size_t flood(scripted_connection_ptr to, const std::string& bytes,
+                             const std::function<bool()>& stop, std::size_t limit,
+                             const std::function<void()>& pump)
+    {
+        to->socket().non_blocking(true);
+        std::size_t written = 0;
+        while (!stop() && !to->closed && written < limit) {
+            boost::system::error_code ec;
+            const std::size_t n = to->socket().write_some(boost::asio::buffer(bytes), ec);
+            if (ec && ec != boost::asio::error::would_block) {
+                break;
+            }
+            written += n;
+            pump();
+        }
+        return written;
+    }
+};
+
+// Servers in trouble may send bytes that are no answer until the caller closes.
+TEST_P(endless_answer_test, ends_within_bounds_and_the_request_goes_to_another_replica)
+{
+    constexpr std::size_t limit = std::size_t{32} * 1024 * 1024;
+    get();
+    const auto replica = wait_for_request(1);
+    replica->write(GetParam().begin);
+    std::string block;
+    while (block.size() < 16384) {
+        block += GetParam().repeated;
+    }
+    const std::size_t taken = flood(
+        replica, block, [this] { return requests_received() > 1; }, limit, [this] { poll(); });
+    EXPECT_LT(taken, std::size_t{8} * 1024 * 1024)
+        << "The connection should have been closed after " << GetParam().name << ".";
+    const auto other = wait_for_request(2);
+    ASSERT_NE(other, nullptr);
+    other->write(small_answer);
+    EXPECT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+    EXPECT_EQ(count_of(caller_->received, "HTTP/1.1 "), 1U) << caller_->received;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    replica, endless_answer_test,
+    testing::Values(
+        endless_answer{"endless text", "", "xxxxxxxxxxxxxxxx"},
+        endless_answer{"an endless head", "HTTP/1.1 200 OK\r\nX-Long: ", "xxxxxxxxxxxxxxxx"},
+        endless_answer{"header lines without end", "HTTP/1.1 200 OK\r\n", "X-Line: value\r\n"},
+        endless_answer{"informational answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+        endless_answer{"an endless reason phrase", "HTTP/1.1 200 ", "OKOKOKOKOKOKOKOK"},
+        endless_answer{"an endless body", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", "xxxxxxxxxxxxxxxx"},
+        endless_answer{"an endless chunk size", stream_head, "0000000000000000"},
+        endless_answer{"an endless chunk extension", stream_head + "5;", "x=yyyyyyyyyyyyyy"},
+        endless_answer{"extensions of small chunks", stream_head,
+                       "1;x=yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\nx\r\n"},
+        endless_answer{"trailers without end", stream_head + "1\r\nx\r\n0\r\n",
+                       "X-Trailer: value\r\n"},
+        endless_answer{"an endless trailer",
+                       stream_head + "1\r\nx\r\n0\r\nX-Trailer: ", "xxxxxxxxxxxxxxxx"}),
+    [](const auto& item) {
+        std::string name = item.param.name;
+        std::ranges::replace(name, ' ', '_');
+        return name;
+    });
+
+TEST_F(proxy_server_test, informational_answers_are_skipped)
+{
+    get();
+    wait_for_request(1)->write("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + small_answer);
+    ASSERT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+    EXPECT_EQ(caller_->received.find("HTTP/1.1 200"), 0U) << caller_->received;
+}
+
+TEST_F(proxy_server_test, body_of_single_byte_chunks_is_within_the_framing_limit)
+{
+    get();
+    std::string answer = stream_head;
+    for (int i = 0; i < 50000; ++i) {
+        answer += "1\r\nx\r\n";
+    }
+    wait_for_request(1)->write(answer + "0\r\n\r\n");
+    ASSERT_TRUE(wait_for_caller_text("Content-Length: 50000"));
+}
+
+TEST_F(proxy_server_test, endless_event_ends_within_bounds_and_the_stream_goes_on_elsewhere)
+{
+    post("/report/x", "p");
+    const auto replica = wait_for_request(1);
+    replica->write(stream_head + chunk("id: 1\ndata: a\n\n"));
+    ASSERT_TRUE(wait_for_caller_text("data: a"));
+    const std::string part = chunk(std::string(8192, 'x'));
+    for (int i = 0; i < 200 && requests_received() < 2; ++i) {
+        replica->write(part);
+        poll();
+    }
+    wait_for_request(2)->write(stream_head + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    ASSERT_TRUE(wait_for_caller_text("0\r\n\r\n"));
+    EXPECT_EQ(caller_->received.find("xxxx"), std::string::npos);
+}
+
 TEST_F(proxy_server_test, draining_server_says_that_the_connection_closes)
 {
     get();
@@ -352,6 +497,116 @@
     EXPECT_TRUE(pump_until([&] { return server_.quiet(); }));
 }
 
+// A stop closes idle connections. A request may have arrived on one without having been read.
+TEST_F(proxy_server_test, unread_request_on_an_idle_connection_is_answered_during_a_stop)
+{
+    ASSERT_TRUE(pump_until([&] { return server_.connections() == 1; }));
+    get();
+    server_.close_idle();
+    EXPECT_FALSE(server_.quiet());
+    wait_for_request(1)->write(small_answer);
+    EXPECT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+    EXPECT_TRUE(pump_until([&] { return server_.quiet() && server_.connections() == 0; }));
+}
+
+TEST_F(proxy_server_test, request_that_is_arriving_during_a_stop_is_answered)
+{
+    send("GET /read/x HTTP/1.1\r\nHo");
+    ASSERT_TRUE(pump_until([&] { return server_.connections() == 1 && !server_.quiet(); }));
+    server_.close_idle();
+    send("st: h\r\nX-Id: 1\r\n\r\n");
+    wait_for_request(1)->write(small_answer);
+    EXPECT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+}
+
+TEST_F(proxy_server_test, connection_that_waits_to_be_accepted_is_served_before_the_listener_closes)
+{
+    ASSERT_TRUE(pump_until([&] { return server_.connections() == 1; }));
+    const auto late = connect_to(io_, server_.address());
+    late->write("GET /read/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n");
+    server_.stop_accepting();
+    poll();
+    EXPECT_FALSE(server_.quiet());
+    wait_for_request(1)->write(small_answer);
+    EXPECT_TRUE(pump_until([&] { return late->received.find("\r\n\r\nok") != std::string::npos; }));
+}
+
+// The VM was suspended after it had decided to send and before the connection was open.
+TEST_F(proxy_server_test, request_is_not_sent_once_its_key_may_have_been_revoked_meanwhile)
+{
+    get();
+    ASSERT_TRUE(pump_until([&] { return upstreams_.connections_opened() == 1; }));
+    suspended_ = 30s;
+    ASSERT_TRUE(wait_for_caller_text("HTTP/1.1 503"));
+    EXPECT_NE(caller_->received.find("X-Run: not_run"), std::string::npos);
+    EXPECT_EQ(requests_received(), 0U);
+}
+
+TEST_F(proxy_server_test, stream_whose_replica_sends_only_comments_goes_on_at_another_replica)
+{
+    post("/report/x", "p");
+    const auto replica = wait_for_request(1);
+    replica->write(stream_head + chunk("id: 1\ndata: a\n\n"));
+    ASSERT_TRUE(wait_for_caller_text("data: a"));
+    ASSERT_TRUE(pump_until([&, sent = 0]() mutable {
+        if (sent++ % 5 == 0) {
+            replica->write(chunk(":\n\n"));
+            replica->write(chunk("x"));
+        }
+        return requests_received() == 2;
+    }));
+    const auto other = wait_for_request(2);
+    EXPECT_NE(other->received.find("X-After: 1"), std::string::npos);
+    other->write(stream_head + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    ASSERT_TRUE(wait_for_caller_text("0\r\n\r\n"));
+    EXPECT_EQ(count_of(caller_->received, "data: a"), 1U) << caller_->received;
+}
+
+// A stream is slow but sound while events keep arriving, however long it lasts.
+TEST_F(proxy_server_test, slow_stream_is_not_cut)
+{
+    post("/report/x", "p");
+    const auto replica = wait_for_request(1);
+    replica->write(stream_head);
+    for (int i = 1; i <= 3; ++i) {
+        const std::string id = "id: " + std::to_string(i);
+        replica->write(chunk(id + "\ndata: x\n\n"));
+        ASSERT_TRUE(wait_for_caller_text(id));
+        const auto until = std::chrono::steady_clock::now() + 1200ms;
+        ASSERT_TRUE(pump_until([&] { return std::chrono::steady_clock::now() > until; }));
+    }
+    replica->write("0\r\n\r\n");
+    ASSERT_TRUE(wait_for_caller_text("0\r\n\r\n"));
+    EXPECT_EQ(requests_received(), 1U);
+}
+
+TEST_F(proxy_server_test, stream_that_may_not_be_resumed_waits_for_a_stalled_replica)
+{
+    auto contents = testing_proxy::make_contents(2);
+    contents.routes[0].resumable = false;
+    core_.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
+    post("/report/x", "p");
+    const auto replica = wait_for_request(1);
+    replica->write(stream_head + chunk("id: 1\ndata: a\n\n"));
+    const auto until = std::chrono::steady_clock::now() + 2500ms;
+    ASSERT_TRUE(pump_until([&] { return std::chrono::steady_clock::now() > until; }));
+    replica->write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    ASSERT_TRUE(wait_for_caller_text("0\r\n\r\n"));
+    EXPECT_EQ(requests_received(), 1U);
+}
+
+// Connections to replicas that have left would otherwise use up the descriptors of the VM.
+TEST_F(proxy_server_test, idle_connections_to_replicas_close_after_their_time)
+{
+    get();
+    const auto replica = wait_for_request(1);
+    replica->write("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=1\r\n"
+                   "Content-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+    ASSERT_FALSE(replica->closed);
+    EXPECT_TRUE(pump_until([&] { return replica->closed; }));
+}
+
 TEST_F(proxy_server_test, each_decision_leaves_a_line_with_the_requests_id)
 {
     get("abc");
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -126,11 +126,10 @@
                               : not_ready_error(
                                     "The key is unknown and the configuration may be outdated.");
         }
-        if (configuration_age(now) > settings_.key_validity) {
-            return not_ready_error(
-                "The key may have been revoked: the configuration is not confirmed.");
-        }
         out.team = team->name;
+        if (auto refused = check_permission(out, now)) {
+            return tl::unexpected(std::move(*refused));
+        }
         out.priority = team->has_priority ? team->priority : out.priority;
     }
     out.affinity_hash = hash64(request.session.empty() ? request.id : request.session);
@@ -140,6 +139,16 @@
     return out;
 }
 
+std::optional<error> proxy_core::check_permission(const admission& admitted, time_point now) const
+{
+    if (admitted.team.empty() || configuration_age(now) <= settings_.key_validity) {
+        return std::nullopt;
+    }
+    return refusal(error_code::not_ready, step::configure,
+                   "The key may have been revoked: the configuration is not confirmed.",
+                   shortest_retry_after);
+}
+
 retry_budget& proxy_core::budget_of(const std::string& service, time_point now)
 {
     const auto [it, added] = retry_budgets_.try_emplace(service, settings_.retry, now);
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -195,6 +195,10 @@
     /// Authenticates a request and finds its route and service. Errors, all not_run: not_ready,
     /// unknown_path, unknown_team, shutting_down, bill_buffer_full.
     [[nodiscard]] expected<admission> admit(const proxied_request& request, time_point now) const;
+    /// Checks again, when an admitted request is about to be sent, that its key is still known to
+    /// be valid. Returns the refusal (not_ready, not_run) otherwise.
+    [[nodiscard]] std::optional<error> check_permission(const admission& admitted,
+                                                        time_point now) const;
     /// Chooses a replica for the request and counts the attempt in its load until finish(). Errors,
     /// all not_run: no_upstream, queue_full.
     expected<placement> place(const admission& admitted, const proxied_request& request,
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -17,6 +17,12 @@
 constexpr double head_timeout_factor = 6;
 constexpr double min_head_timeout_share = 0.35;
 constexpr double max_head_timeout_share = 1.2;
+/// Multiple of the longest pause that the route calls on time; a replica that preempted a request
+/// and processes its prompt again is silent for less.
+constexpr int stall_factor = 4;
+constexpr duration min_stall_timeout = 2s;
+/// Delay after which a decision to send is made again. Longer than the time to open a connection.
+constexpr duration longest_send_delay = 1s;
 /// Interval of the checks whether a starting VM can serve. Short compared with the latency targets.
 constexpr duration startup_poll_interval = 20ms;
 /// An answer whose first event takes longer than this share of the latency target counts as slow in
@@ -95,6 +101,9 @@
 
 flow_step request_flow::place(duration pause, time_point now)
 {
+    if (const auto refused = core_.check_permission(*admitted_, now)) {
+        return give_up(*refused, now);
+    }
     auto placed = core_.place(*admitted_, request_, history_, now);
     if (!placed) {
         error reason = placed.error();
@@ -150,6 +159,12 @@
 flow_step request_flow::on_head(const response_head& head, time_point now)
 {
     head_seen_ = true;
+    // A late copy of an earlier answer says nothing about this request, also if it is a refusal.
+    if (head.of_other_request) {
+        return on_failure({error_code::upstream_failed, run_state::outcome_unknown,
+                           "The response belongs to another request."},
+                          now);
+    }
     if (!head.answered_by.empty() && placed_ && head.answered_by != placed_->upstream.value &&
         !head.signed_response) {
         core_.note_address_reused(placed_->upstream, now);
@@ -166,7 +181,7 @@
     }
     if (!head.request_id_matches || !head.signed_response) {
         return on_failure({error_code::upstream_failed, run_state::outcome_unknown,
-                           "The response belongs to another request or is not signed."},
+                           "The response has no id of this request or is not signed."},
                           now);
     }
     run_ = run_state::ran;
@@ -284,7 +299,7 @@
         const bool silent = failure.code == error_code::upstream_timeout;
         core_.note_answer(*admitted_, *placed_, {.failed = !silent, .slow = silent});
     }
-    end_attempt(attempt_result::failed, now);
+    end_attempt(failure.withdrawn ? attempt_result::cancelled : attempt_result::failed, now);
     return retry(failure, now);
 }
 
@@ -330,6 +345,28 @@
     return respond_step{status_of(final_reason), final_reason};
 }
 
+bool request_flow::may_send(time_point now) const
+{
+    return now - sent_at_ <= longest_send_delay && !core_.check_permission(*admitted_, now);
+}
+
+duration request_flow::stall_timeout() const
+{
+    return std::max(min_stall_timeout, admitted_->route->target_gap * stall_factor);
+}
+
+std::optional<flow_step> request_flow::on_stall(time_point now)
+{
+    const proxy_route& route = *admitted_->route;
+    if (!placed_ || !route.repeatable() || !last_event_id_ ||
+        history_.sends >= route.maximum_sends || !core_.repeats_left(*admitted_, now)) {
+        return std::nullopt;
+    }
+    return on_failure({error_code::stream_broken, run_state::ran,
+                       "The stream stalled: no event arrived in time."},
+                      now);
+}
+
 void request_flow::on_end(time_point now)
 {
     if (placed_) {
