Answer every accepted request during a planned stop

Cause, found by a test of stops under load with real processes (12 callers, 1 to 4 lost requests in every stop): a new connection without a request was closed as idle while its first request was on its way; the listening socket was closed although an accept under way had taken a connection, which was dropped; callers that kept coming after the refusals began kept the VM from being quiet until its time was over.

--- a/src/net/proxy/proxied_connection.cpp
+++ b/src/net/proxy/proxied_connection.cpp
@@ -18,6 +18,9 @@
 /// Callers may reuse a connection for most of the declared idle timeout. This server closes it only
 /// well after that, to leave closing to the caller.
 constexpr int idle_timeout_factor = 2;
+/// A connection without a request so far is not closed as idle before this age: its caller may have
+/// sent a request that is on its way.
+constexpr duration first_request_wait = 500ms;
 
 std::string_view to_std(boost::beast::string_view text)
 {
@@ -42,7 +45,7 @@
 } // namespace
 
 proxied_connection::proxied_connection(proxy_server::state& owner, tcp_socket socket)
-    : owner_{owner}, socket_{std::move(socket)}
+    : owner_{owner}, socket_{std::move(socket)}, opened_at_{owner.context.clock()}
 {
 }
 
@@ -192,6 +195,7 @@
 void proxied_connection::start_answer()
 {
     answering_ = true;
+    had_request_ = true;
     owner_.context.deadlines.cancel(deadline_);
     keep_alive_ = parser_->keep_alive();
     if (owner_.settings.page) {
@@ -324,6 +328,9 @@
     if (answering_ || close_after_write_) {
         return false;
     }
+    if (!had_request_ && owner_.context.clock() - opened_at_ < first_request_wait) {
+        return true;
+    }
     boost_error ec;
     const bool unread = socket_.available(ec) > 0 && !ec;
     return unread || !inbound_.empty() || (parser_ && parser_->got_some());
--- a/src/net/proxy/proxied_connection.hpp
+++ b/src/net/proxy/proxied_connection.hpp
@@ -48,8 +48,11 @@
     void close();
     /// Closes at once when no answer is due and no request is arriving, else after the answer.
     void close_when_idle();
-    /// True while a part of a request has arrived, also if it has not been read yet.
+    /// True while a part of a request has arrived, also if it has not been read yet, or while the
+    /// first request of a new connection may be on its way.
     [[nodiscard]] bool receiving() const;
+    /// True while a request is being answered by a replica, or waits for one.
+    [[nodiscard]] bool answering() const { return exchange_ != nullptr; }
     /// True while an answer is due or not yet written out.
     [[nodiscard]] bool busy() const { return exchange_ != nullptr || answering_ || writing_; }
 
@@ -75,6 +78,8 @@
 
     proxy_server::state& owner_;
     tcp_socket socket_;
+    time_point opened_at_;
+    bool had_request_{false};
     std::array<char, 8192> read_buffer_; ///< filled by the read under way
     std::string inbound_;                ///< received and not yet parsed
     std::optional<request_parser> parser_;
--- a/src/net/proxy/proxy_server.cpp
+++ b/src/net/proxy/proxy_server.cpp
@@ -29,7 +29,11 @@
 
 void proxy_server::state::on_accepted(boost_error ec, detail::tcp_socket socket)
 {
-    if (ec == asio::error::operation_aborted || !acceptor.is_open()) {
+    if (!ec) {
+        // The listening socket may have been closed after this connection was accepted.
+        begin_connection(std::move(socket));
+    }
+    if (!acceptor.is_open()) {
         return;
     }
     if (ec) {
@@ -40,7 +44,6 @@
         });
         return;
     }
-    begin_connection(std::move(socket));
     accept();
 }
 
@@ -101,6 +104,11 @@
     }
 }
 
+bool proxy_server::answering() const
+{
+    return std::ranges::any_of(state_->connections, [](const auto& it) { return it->answering(); });
+}
+
 bool proxy_server::quiet() const
 {
     return std::ranges::none_of(state_->connections,
--- a/src/net/proxy/proxy_server.hpp
+++ b/src/net/proxy/proxy_server.hpp
@@ -54,6 +54,8 @@
     void close_idle();
     /// Accepts the connections that wait and no further ones.
     void stop_accepting();
+    /// Whether a request is being answered by a replica, or waits for one.
+    [[nodiscard]] bool answering() const;
     /// Whether no answer is pending and no request is arriving.
     [[nodiscard]] bool quiet() const;
     [[nodiscard]] std::size_t connections() const;
--- a/src/net/proxy/proxy_server_test.cpp
+++ b/src/net/proxy/proxy_server_test.cpp
@@ -374,7 +374,7 @@
                             public testing::WithParamInterface<endless_answer> {
 protected:
     /// Writes until this end of the connection is closed or `limit` bytes were taken.
-    static std::size_t flood(scripted_connection_ptr to, const std::string& bytes,
+    static std::size_t flood(const scripted_connection_ptr& to, const std::string& bytes,
                              const std::function<bool()>& stop, std::size_t limit,
                              const std::function<void()>& pump)
     {
@@ -489,6 +489,8 @@
     const auto idle = connect_to(io_, server_.address());
     get();
     const auto replica = wait_for_request(1);
+    ASSERT_TRUE(pump_until([&] { return server_.connections() == 2; }));
+    suspended_ = 1s;
     server_.close_idle();
     ASSERT_TRUE(pump_until([&] { return idle->closed; }));
     EXPECT_FALSE(server_.quiet());
@@ -501,6 +503,7 @@
 TEST_F(proxy_server_test, unread_request_on_an_idle_connection_is_answered_during_a_stop)
 {
     ASSERT_TRUE(pump_until([&] { return server_.connections() == 1; }));
+    suspended_ = 1s;
     get();
     server_.close_idle();
     EXPECT_FALSE(server_.quiet());
@@ -509,6 +512,17 @@
     EXPECT_TRUE(pump_until([&] { return server_.quiet() && server_.connections() == 0; }));
 }
 
+TEST_F(proxy_server_test, new_connection_without_a_request_is_not_closed_as_idle_at_once)
+{
+    ASSERT_TRUE(pump_until([&] { return server_.connections() == 1; }));
+    server_.close_idle();
+    poll();
+    EXPECT_FALSE(server_.quiet());
+    get();
+    wait_for_request(1)->write(small_answer);
+    EXPECT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+}
+
 TEST_F(proxy_server_test, request_that_is_arriving_during_a_stop_is_answered)
 {
     send("GET /read/x HTTP/1.1\r\nHo");
