Compare the first tokens of a version on trial with established software

Change: an answer is slow, too, when its first token takes 2.5 times as long as the learned time of established software for the whole prompt at that load, once 20 answers of that software are known and unless the replica's slots were full.

--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -29,6 +29,11 @@
 constexpr double prompt_token_share = 0.25;
 /// Short, because another VM can take the request at once.
 constexpr duration stop_retry_after = 10ms;
+/// An answer is slow if its first token takes this multiple of the usual time. Versions that are
+/// worth halting are several times slower.
+constexpr double slow_first_token_factor = 2.5;
+/// Answers of the established software that must be known to call others slow.
+constexpr double answers_for_slowness = 20;
 constexpr double unlimited_bytes_per_second = 1e12;
 
 /// Combines two 64-bit numbers into a hash that spreads chained identifiers over the index.
@@ -408,6 +413,31 @@
     }
 }
 
+bool proxy_core::is_slow_first_token(const placement& placed, double prompt_tokens,
+                                     duration first_token, time_point now)
+{
+    if (placed.waits) {
+        return false;
+    }
+    engine_key established = placed.engine;
+    if (placed.on_trial) {
+        const auto present = directory_.software_versions_of(placed.engine.service);
+        const auto old =
+            std::ranges::find_if(present, [&](const auto& it) { return it != placed.software; });
+        if (old == present.end()) {
+            return false;
+        }
+        established.software = *old;
+    }
+    const first_token_model usual = calibration_.model(established, now);
+    if (calibration_.answers(established) < answers_for_slowness) {
+        return false;
+    }
+    const double expected = usual.seconds({prompt_tokens, placed.inputs.load_share});
+    const duration engine_time = first_token - chooser_.round_trip_to(placed.distance);
+    return std::chrono::duration<double>(engine_time).count() > slow_first_token_factor * expected;
+}
+
 void proxy_core::finish(const placement& placed, const attempt_outcome& outcome, time_point now)
 {
     if (pool_.finish(placed.ticket, outcome, now)) {
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -218,6 +218,10 @@
     void note_first_token(const placement& placed, duration first_token, time_point now);
     /// Ends the attempt that place() began.
     void finish(const placement& placed, const attempt_outcome& outcome, time_point now);
+    /// Whether an answer took much longer to its first token than established software of the
+    /// service takes for a prompt of which nothing is cached.
+    [[nodiscard]] bool is_slow_first_token(const placement& placed, double prompt_tokens,
+                                           duration first_token, time_point now);
     /// Records a complete answer or a failure of the upstream as evidence on its software.
     void note_answer(const admission& admitted, const placement& placed,
                      const answer_quality& quality);
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -246,6 +246,39 @@
     }
 }
 
+// A version several times slower than the established one may still answer within the target.
+TEST_F(proxy_core_test, answer_is_slow_when_it_takes_several_times_as_long_as_established_software)
+{
+    auto request = deployment_.request("/report/1");
+    request.prompt_tokens = 1000;
+    const auto admitted = deployment_.core.admit(request, deployment_.clock.now());
+    const auto answer = [&](duration first_token) {
+        const auto placed = deployment_.core.place(*admitted, request, {}, deployment_.clock.now());
+        deployment_.core.note_first_token(*placed, first_token, deployment_.clock.now());
+        deployment_.core.finish(*placed, {}, deployment_.clock.now());
+        deployment_.clock.advance(20ms);
+        return *placed;
+    };
+    placement trial = answer(100ms);
+    EXPECT_FALSE(deployment_.core.is_slow_first_token(trial, 1000, 400ms, deployment_.clock.now()))
+        << "Too little is known of the established software.";
+    for (int i = 0; i < 60; ++i) {
+        trial = answer(100ms);
+    }
+    order_rollout();
+    trial.software = "v2";
+    trial.engine.software = "v2";
+    trial.on_trial = true;
+    const auto slow = [&](duration first_token) {
+        return deployment_.core.is_slow_first_token(trial, 1000, first_token,
+                                                    deployment_.clock.now());
+    };
+    EXPECT_TRUE(slow(400ms));
+    EXPECT_FALSE(slow(150ms));
+    trial.waits = true;
+    EXPECT_FALSE(slow(400ms)) << "A request that waited for a slot says nothing of the software.";
+}
+
 TEST_F(proxy_core_test, combined_evidence_of_several_vms_halts_a_rollout)
 {
     order_rollout();
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -257,7 +257,11 @@
 bool request_flow::slow(time_point now) const
 {
     const duration took = first_event_at_.value_or(now) - sent_at_;
-    return took > scale(admitted_->route->target_latency, slow_first_event_share);
+    if (took > scale(admitted_->route->target_latency, slow_first_event_share)) {
+        return true;
+    }
+    return head_at_ &&
+           core_.is_slow_first_token(*placed_, request_.prompt_tokens, *head_at_ - sent_at_, now);
 }
 
 std::optional<duration> request_flow::mean_event_interval() const
