Deliver ready answers although their key is no longer confirmed

Cause, found while reading the change: with permissions checked before each send, a weak but ready answer was dropped for a larger model that could not be asked any more, and a replica's own failure was replaced by a refusal.

Change: whether another send is permitted is asked before an answer is given up.

Measured: 573 unit tests pass. The new tests were not run against the code before the change.

--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -272,7 +272,7 @@
 {
     const proxy_route& route = *admitted.route;
     if (!placed.model || history.model_fixed || history.sends >= route.maximum_sends ||
-        !repeats_left(admitted, now)) {
+        !repeats_left(admitted, now) || check_permission(admitted, now)) {
         return std::nullopt;
     }
     const duration left = request.received_at + route.target_latency - now;
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -216,6 +216,32 @@
     EXPECT_TRUE(relays()) << "No larger model is left.";
 }
 
+// A key that may have been revoked meanwhile sends nothing further, but what is ready is delivered.
+TEST_F(request_flow_test, ready_answer_is_delivered_when_its_key_is_no_longer_confirmed)
+{
+    response_head low_confidence_head = answered;
+    low_confidence_head.confidence = 0.1;
+    for (const auto& [path, head] :
+         {std::pair{"/report/1", low_confidence_head}, std::pair{"/read/1", failed}}) {
+        start(path);
+        ASSERT_TRUE(sends()) << path;
+        deployment_.clock.advance(testing_proxy::make_settings().key_validity + 1ms);
+        step_ = flow_->on_head(head, now());
+        EXPECT_TRUE(relays()) << path;
+        deployment_.core.confirm(now());
+    }
+}
+
+TEST_F(request_flow_test, nothing_is_sent_again_with_a_key_that_is_no_longer_confirmed)
+{
+    start("/read/1");
+    deployment_.clock.advance(testing_proxy::make_settings().key_validity + 1ms);
+    EXPECT_FALSE(flow_->may_send(now()));
+    step_ = flow_->on_failure(connection_refused, now());
+    EXPECT_EQ(status(), 503U);
+    EXPECT_EQ(flow_->run(), run_state::not_run);
+}
+
 TEST_F(request_flow_test, stream_that_has_begun_keeps_its_model)
 {
     start("/report/1");
