Log the shared prompt parts of failed and finished requests

The lines told that connections broke, not what the broken requests had in common: hypotheses (1) a part of the prompt, (2) the retry of one request, (3) load of the replica could not be told apart.

Change: attempt_failed carries the shared parts, the events passed on and the age of the attempt, request_finished the parts.

--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -46,6 +46,19 @@
     out.append(name).append(": ").append(value).append("\r\n");
 }
 
+/// Ids of the prompt parts that other requests may share, in prompt order: "5c1e07a2,91bd3f06".
+std::string shared_part_ids(const proxied_request& request)
+{
+    std::string out;
+    for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
+        std::array<char, 20> text{};
+        const int n = std::snprintf(text.data(), text.size(), "%s%llx", i > 0 ? "," : "",
+                                    static_cast<unsigned long long>(request.parts[i].id));
+        out.append(text.data(), static_cast<std::size_t>(n));
+    }
+    return out;
+}
+
 std::string chunk_of(std::string_view bytes)
 {
     std::array<char, 20> size{};
@@ -478,7 +491,10 @@
                         {"replica", placed ? placed->upstream.value : std::string{}},
                         {"code", name_of(failure.code)},
                         {"run", name_of(failure.run)},
-                        {"detail", failure.detail}});
+                        {"detail", failure.detail},
+                        {"parts", shared_part_ids(flow_.request())},
+                        {"events", flow_.attempt_events()},
+                        {"after_ms", to_milliseconds(context_.clock() - flow_.sent_at())}});
 }
 
 void proxied_exchange::log_answer_dropped(const response_head& head, const std::string& replica)
@@ -517,6 +533,7 @@
          {"confidence", last_confidence_},
          {"sends", flow_.sends()},
          {"detail", detail},
+         {"parts", shared_part_ids(flow_.request())},
          {"took_ms", to_milliseconds(took)},
          {"first_ms",
           first_byte_at_ ? to_milliseconds(*first_byte_at_ - flow_.request().received_at) : -1},
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -115,6 +115,9 @@
     [[nodiscard]] const std::optional<placement>& placed() const { return placed_; }
     [[nodiscard]] time_point answer_deadline() const { return admitted_->answer_deadline; }
     [[nodiscard]] std::uint32_t sends() const { return history_.sends; }
+    /// Time at which the current or last attempt was sent, and the events it has passed on.
+    [[nodiscard]] time_point sent_at() const { return sent_at_; }
+    [[nodiscard]] std::uint64_t attempt_events() const { return events_; }
     [[nodiscard]] bool response_started() const { return response_started_; }
     [[nodiscard]] run_state run() const { return run_; }
 
