Quarantine prompt parts that crash every replica that begins to answer them

Cause: a query of death. Nothing remembered what a lost attempt had in common with others, and each retry took the request to the next replica.

Ruled out: the retry of one request alone (new requests with the part crash as well), load (the crash follows the head of the answer).

Change: src/quarantine keeps, by service and prompt part, the replica runs that were lost at the beginning of an answer and the answers that went on, also for answers that were dropped for a larger model just before. VMs pool this in their reports. A part with four lost runs more than its answers outweigh is quarantined after one second, the most specific of parts with the same runs; runs that it explains count against no other. A quarantine by any VM applies to all, is stored for VMs that start later, and ends with a single request as its test. Requests with the part are refused as not run (503) with the time that remains; a send that waits is checked right before its first byte.

--- a/src/base/digest.cpp
+++ b/src/base/digest.cpp
@@ -6,7 +6,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <cctype>
+#include <charconv>
 #include <memory>
 
 namespace wagtailhitch {
@@ -89,6 +91,15 @@
     return a.size() == b.size() && CRYPTO_memcmp(a.data(), b.data(), a.size()) == 0;
 }
 
+std::string hex_text(std::uint64_t value)
+{
+    constexpr int base = 16;
+    constexpr std::size_t max_digits = 16;
+    std::array<char, max_digits> digits{};
+    const auto [end, ec] = std::to_chars(digits.data(), digits.data() + digits.size(), value, base);
+    return {digits.data(), end};
+}
+
 std::string to_hex(std::string_view raw)
 {
     // OpenSSL writes a terminating zero, so the buffer holds one character more than the text.
--- a/src/base/digest.hpp
+++ b/src/base/digest.hpp
@@ -33,6 +33,8 @@
 bool equal_constant_time(std::string_view a, std::string_view b);
 
 std::string to_hex(std::string_view raw);
+/// The number in lowercase hexadecimal digits, without leading zeros.
+std::string hex_text(std::uint64_t value);
 /// Errors: config_invalid when the text is not an even number of hexadecimal digits.
 expected<std::string> from_hex(std::string_view text);
 
--- a/src/base/error.hpp
+++ b/src/base/error.hpp
@@ -81,6 +81,7 @@
     queue_full,
     deadline_unreachable,
     no_upstream,
+    prompt_quarantined,
     ring_full,
     bill_buffer_full,
     claim_unavailable,
@@ -106,7 +107,7 @@
 };
 
 template<>
-inline constexpr auto enum_names<error_code> = name_table<error_code, 38>{{
+inline constexpr auto enum_names<error_code> = name_table<error_code, 39>{{
     {error_code::malformed_request, "malformed_request"},
     {error_code::body_too_large, "body_too_large"},
     {error_code::unknown_path, "unknown_path"},
@@ -123,6 +124,7 @@
     {error_code::queue_full, "queue_full"},
     {error_code::deadline_unreachable, "deadline_unreachable"},
     {error_code::no_upstream, "no_upstream"},
+    {error_code::prompt_quarantined, "prompt_quarantined"},
     {error_code::ring_full, "ring_full"},
     {error_code::bill_buffer_full, "bill_buffer_full"},
     {error_code::claim_unavailable, "claim_unavailable"},
--- a/src/net/caller_text.cpp
+++ b/src/net/caller_text.cpp
@@ -20,7 +20,7 @@
 constexpr unsigned default_status = 500;
 
 // Codes that are not listed map to default_status.
-constexpr std::array<code_status, 36> statuses{{
+constexpr std::array<code_status, 37> statuses{{
     {error_code::malformed_request, 400},
     {error_code::body_too_large, 413},
     {error_code::unknown_path, 404},
@@ -37,6 +37,7 @@
     {error_code::queue_full, 503},
     {error_code::deadline_unreachable, 503},
     {error_code::no_upstream, 503},
+    {error_code::prompt_quarantined, 503},
     {error_code::ring_full, 503},
     {error_code::bill_buffer_full, 503},
     {error_code::claim_unavailable, 503},
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -212,6 +212,7 @@
     bool request_sent_{false}; ///< the whole request was written to the connection
     bool timed_out_{false};
     bool withdrawn_{false};
+    bool refused_{false};
     bool ended_{false};
     bool header_reported_{false};
 };
@@ -279,6 +280,7 @@
         return;
     }
     if (ec) {
+        refused_ = ec == asio::error::connection_refused;
         fail(ec.message());
         return;
     }
@@ -485,8 +487,9 @@
         return;
     }
     mark_ended();
-    const call_failure failure{stage_, written_, timed_out_, withdrawn_,
-                               timed_out_ ? "The deadline passed without progress." : detail};
+    const call_failure failure{
+        stage_,     written_, timed_out_,
+        withdrawn_, refused_, timed_out_ ? "The deadline passed without progress." : detail};
     connection_.reset();
     const auto hooks = std::exchange(hooks_, {});
     hooks.on_end(&failure);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -31,6 +31,7 @@
     bool written{false};   ///< at least one byte of the request may have been sent
     bool timed_out{false}; ///< a deadline passed; otherwise the connection failed
     bool withdrawn{false}; ///< http_hooks::may_send returned false
+    bool refused{false};   ///< no process listens at the address
     std::string detail;
 };
 
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -1,5 +1,6 @@
 #include "net/proxy/proxied_exchange.hpp"
 
+#include "base/digest.hpp"
 #include "net/caller_text.hpp"
 
 #include <boost/beast/core/string.hpp>
@@ -51,10 +52,7 @@
 {
     std::string out;
     for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
-        std::array<char, 20> text{};
-        const int n = std::snprintf(text.data(), text.size(), "%s%llx", i > 0 ? "," : "",
-                                    static_cast<unsigned long long>(request.parts[i].id));
-        out.append(text.data(), static_cast<std::size_t>(n));
+        out.append(i > 0 ? "," : "").append(hex_text(request.parts[i].id));
     }
     return out;
 }
@@ -323,8 +321,10 @@
         return;
     }
     if (failure == nullptr) {
-        fail_attempt(
-            {error_code::stream_broken, run_state::ran, "The stream ended within an event."});
+        fail_attempt({.code = error_code::stream_broken,
+                      .run = run_state::ran,
+                      .detail = "The stream ended within an event.",
+                      .connection_lost = true});
         return;
     }
     const bool begun = failure->stage == detail::call_stage::receiving;
@@ -337,7 +337,12 @@
     else if (failure->timed_out && failure->written) {
         code = error_code::upstream_timeout;
     }
-    fail_attempt({code, run, failure->detail, failure->withdrawn});
+    fail_attempt({.code = code,
+                  .run = run,
+                  .detail = failure->detail,
+                  .withdrawn = failure->withdrawn,
+                  .connection_lost = failure->written && !failure->timed_out,
+                  .connection_refused = failure->refused});
 }
 
 void proxied_exchange::fail_attempt(const attempt_failure& failure)
--- a/src/proxy/crashing_parts_test.cpp
+++ b/src/proxy/crashing_parts_test.cpp
@@ -8,7 +8,9 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 // Simulates VMs of two failure domains that send streams to replicas. A replica crashes when it
@@ -23,6 +25,7 @@
 
 constexpr std::uint64_t common_part = 1;
 constexpr std::uint64_t deadly_part = 66;
+constexpr std::uint64_t second_deadly_part = 67;
 constexpr duration stability = 4s;
 
 class crashing_parts_test : public testing::Test {
@@ -123,17 +126,20 @@
         restarts_.emplace_back(clock_.now() + restart, domain, replica);
         for (auto& it : streams_) {
             if (it.flow && it.replica == replica) {
-                perform(it, it.flow->on_failure(
-                                {it.begun ? error_code::stream_broken : error_code::upstream_failed,
-                                 run_state::outcome_unknown, "reset"},
-                                clock_.now()));
+                perform(it, it.flow->on_failure({.code = it.begun ? error_code::stream_broken
+                                                                  : error_code::upstream_failed,
+                                                 .run = run_state::outcome_unknown,
+                                                 .detail = "reset",
+                                                 .connection_lost = true},
+                                                clock_.now()));
             }
         }
     }
 
-    [[nodiscard]] static bool is_deadly(const stream& it)
+    [[nodiscard]] bool is_deadly(const stream& it) const
     {
-        return std::ranges::find(it.shared_parts, deadly_part) != it.shared_parts.end();
+        return std::ranges::any_of(it.shared_parts,
+                                   [this](auto part) { return deadly_parts_.contains(part); });
     }
 
     void perform(stream& it, flow_step next)
@@ -150,8 +156,11 @@
                 return;
             }
             it.first_attempt = false;
-            next = it.flow->on_failure(
-                {error_code::upstream_connect_failed, run_state::not_run, "refused"}, now);
+            next = it.flow->on_failure({.code = error_code::upstream_connect_failed,
+                                        .run = run_state::not_run,
+                                        .detail = "refused",
+                                        .connection_refused = true},
+                                       now);
         }
         if (const auto* answer = std::get_if<respond_step>(&next)) {
             ++counts_.refused[answer->status];
@@ -293,6 +302,7 @@
     std::map<std::string, replica_announcement> live_replicas_;
     std::vector<std::tuple<time_point, std::string, std::string>> restarts_;
     std::vector<time_point> crashes_;
+    std::set<std::uint64_t> deadly_parts_{deadly_part};
     outcome_counts counts_;
     std::uint64_t last_run_{0};
     std::uint64_t last_replica_{0};
@@ -307,5 +317,107 @@
     EXPECT_LE(counts_.deadly_deliveries, 3);
 }
 
+TEST_F(crashing_parts_test, sound_requests_beside_the_part_are_served)
+{
+    run(10s, 2);
+    counts_ = {};
+    run(10s, 2);
+    EXPECT_GT(counts_.deadly, 10);
+    EXPECT_GE(counts_.sound_begun_at_first, counts_.sound * 95 / 100);
+    EXPECT_GE(counts_.sound_answered, counts_.sound * 95 / 100);
+    EXPECT_EQ(counts_.refused[503], counts_.deadly) << "Refused as not run, at once.";
+}
+
+TEST_F(crashing_parts_test, rare_requests_with_the_part_are_stopped_too)
+{
+    run(60s, 0.2);
+    ASSERT_GE(crashes_.size(), 4U);
+    EXPECT_LE(counts_.deadly_deliveries, 3);
+}
+
+TEST_F(crashing_parts_test, vm_that_restarts_learns_of_the_quarantine)
+{
+    run(10s, 2);
+    counts_ = {};
+    for (std::size_t i = 0; i < vms_.size(); ++i) {
+        restart_vm(0);
+        run(1s, 0);
+    }
+    run(8s, 2);
+    EXPECT_EQ(counts_.deadly_deliveries, 0);
+}
+
+TEST_F(crashing_parts_test, vm_that_peers_cannot_reach_learns_of_the_quarantine_afterwards)
+{
+    run(1s, 2);
+    vms_[0].reaches_peers = false;
+    run(9s, 2);
+    vms_[0].reaches_peers = true;
+    run(2s, 0);
+    counts_ = {};
+    run(8s, 4);
+    EXPECT_EQ(counts_.deadly_deliveries, 0);
+}
+
+TEST_F(crashing_parts_test, two_parts_that_crash_replicas_are_both_found)
+{
+    run(10s, 2);
+    deadly_parts_.insert(second_deadly_part);
+    crashes_.clear();
+    for (int i = 0; i < 200; ++i) {
+        if (i % 10 == 0) {
+            begin({common_part, 100 + generator_() % 60, second_deadly_part});
+        }
+        run(step, 0.5);
+    }
+    EXPECT_LE(counts_.deadly_deliveries, 3);
+}
+
+TEST_F(crashing_parts_test, replicas_that_crash_by_themselves_quarantine_no_part)
+{
+    for (int i = 0; i < 12; ++i) {
+        run(1500ms, 0);
+        crash(live_replicas_.begin()->first);
+    }
+    EXPECT_EQ(counts_.refused[503], 0);
+    for (const auto& it : vms_) {
+        EXPECT_TRUE(it.core->quarantine().quarantined(clock_.now()).empty());
+    }
+}
+
+// A request of which a replica may have run a part must not be told that it has not run.
+TEST_F(crashing_parts_test, request_that_was_under_way_when_its_part_was_quarantined_ends_with_502)
+{
+    begin({common_part, 100, deadly_part});
+    auto& flow = *streams_.back().flow;
+    for (auto& it : vms_) {
+        it.core->quarantine().adopt(
+            {proxy_core::part_keys(*flow.admitted(), flow.request())[2], 60s, 1}, clock_.now());
+    }
+    EXPECT_FALSE(flow.may_send(clock_.now()));
+    crash(streams_.back().replica);
+    EXPECT_EQ(counts_.refused[502], 1);
+}
+
+TEST_F(crashing_parts_test, refusal_names_the_part_and_the_time_that_remains)
+{
+    auto& core = *vms_[0].core;
+    proxied_request request;
+    request.host = "api.example";
+    request.path = "/report/x";
+    request.key = "key-1";
+    request.received_at = clock_.now();
+    request.parts = {{common_part, 10}, {deadly_part, 10}, {5, 10}};
+    const auto keys = proxy_core::part_keys(*core.admit(request, clock_.now()), request);
+    ASSERT_EQ(keys.size(), 2U) << "The last part is the request's own.";
+    core.quarantine().adopt({keys[1], 60s, 1}, clock_.now());
+    request_flow flow{core, request};
+    const auto answer = std::get<respond_step>(flow.begin(clock_.now()));
+    EXPECT_EQ(answer.status, 503U);
+    EXPECT_EQ(answer.reason.code, error_code::prompt_quarantined);
+    EXPECT_EQ(answer.reason.retry_after, 60s);
+    EXPECT_NE(answer.reason.detail.find("Part 42 "), std::string::npos) << answer.reason.detail;
+}
+
 } // namespace
 } // namespace wagtailhitch
--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -2,6 +2,8 @@
 
 #include "base/msgpack.hpp"
 
+#include <cmath>
+
 namespace wagtailhitch {
 
 namespace {
@@ -12,8 +14,11 @@
 
 /// Layout version of the report's fields; later versions only append fields.
 constexpr std::uint64_t layout_version = 2;
-/// Position of the calibration in a report.
+/// Positions in a report of fields that reports of earlier versions lack.
 constexpr std::size_t calibration_index = 20;
+constexpr std::size_t part_evidence_index = 21;
+/// Survivals are reported in units of 1 / survival_unit.
+constexpr double survival_unit = 100;
 
 json encode_loads(const std::vector<reported_load>& loads)
 {
@@ -73,6 +78,25 @@
     return out;
 }
 
+json encode_part_evidence(const std::vector<part_evidence>& evidence)
+{
+    json out = json::array();
+    for (const auto& item : evidence) {
+        out.push_back(
+            {item.part, item.depth, std::llround(item.survivals * survival_unit), item.crashes});
+    }
+    return out;
+}
+
+json encode_quarantined(const std::vector<quarantined_part>& parts)
+{
+    json out = json::array();
+    for (const auto& item : parts) {
+        out.push_back({item.part, to_milliseconds(item.remaining), item.times});
+    }
+    return out;
+}
+
 duration milliseconds(std::int64_t value)
 {
     return std::chrono::milliseconds{value};
@@ -187,6 +211,44 @@
     return true;
 }
 
+bool decode_part_evidence(const json& array, std::vector<part_evidence>& out)
+{
+    for (const auto& item : array) {
+        field_reader in{item};
+        part_evidence evidence;
+        evidence.part = in.number();
+        evidence.depth = static_cast<std::uint32_t>(in.number());
+        evidence.survivals = static_cast<double>(in.number()) / survival_unit;
+        for (const auto& run : in.array()) {
+            if (!run.is_number_unsigned()) {
+                return false;
+            }
+            evidence.crashes.push_back(run.get<replica_run>());
+        }
+        if (!in.complete()) {
+            return false;
+        }
+        out.push_back(std::move(evidence));
+    }
+    return true;
+}
+
+bool decode_quarantined(const json& array, std::vector<quarantined_part>& out)
+{
+    for (const auto& item : array) {
+        field_reader in{item};
+        quarantined_part part;
+        part.part = in.number();
+        part.remaining = milliseconds(in.integer());
+        part.times = static_cast<std::uint32_t>(in.number());
+        if (!in.complete()) {
+            return false;
+        }
+        out.push_back(part);
+    }
+    return true;
+}
+
 } // namespace
 
 std::string encode_peer_report(const peer_report& report)
@@ -211,7 +273,9 @@
                                        encode_rollouts(report.rollouts),
                                        encode_evidence(report.evidence),
                                        encode_sessions(report.sessions),
-                                       encode_calibration(report.calibration)}));
+                                       encode_calibration(report.calibration),
+                                       encode_part_evidence(report.part_evidence),
+                                       encode_quarantined(report.quarantined)}));
 }
 
 expected<peer_report> decode_peer_report(std::string_view data)
@@ -237,13 +301,17 @@
     report.replica_position = in.number();
     report.replica_age = milliseconds(in.integer());
     report.leaving = in.flag();
-    const bool lists_decoded =
-        decode_received(in.array(), report.received) && decode_loads(in.array(), report.loads) &&
-        decode_rollouts(in.array(), report.rollouts) &&
-        decode_evidence(in.array(), report.evidence) &&
-        decode_sessions(in.array(), report.sessions) &&
-        // Absent in reports of the previous version.
-        (value->size() <= calibration_index || decode_calibration(in.array(), report.calibration));
+    const bool lists_decoded = decode_received(in.array(), report.received) &&
+                               decode_loads(in.array(), report.loads) &&
+                               decode_rollouts(in.array(), report.rollouts) &&
+                               decode_evidence(in.array(), report.evidence) &&
+                               decode_sessions(in.array(), report.sessions) &&
+                               // Absent in reports of the previous version.
+                               (value->size() <= calibration_index ||
+                                decode_calibration(in.array(), report.calibration)) &&
+                               (value->size() <= part_evidence_index ||
+                                (decode_part_evidence(in.array(), report.part_evidence) &&
+                                 decode_quarantined(in.array(), report.quarantined)));
     if (!known || !scope || !lists_decoded || !in.complete()) {
         return tl::unexpected(malformed(step::peer, report_name));
     }
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -5,6 +5,7 @@
 #include "base/ids.hpp"
 #include "calibration/engine_calibration.hpp"
 #include "proxy/service_rollout.hpp"
+#include "quarantine/prompt_quarantine.hpp"
 #include "rollout/evidence.hpp"
 
 #include <cstdint>
@@ -105,6 +106,8 @@
     std::vector<reported_session> sessions;
     /// Contained in about one report a second; an empty list changes nothing.
     std::vector<reported_calibration> calibration;
+    std::vector<wagtailhitch::part_evidence> part_evidence;
+    std::vector<quarantined_part> quarantined;
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -33,6 +33,8 @@
     calibration.engine = 0xfedcba9876543211ULL;
     calibration.moments.fill(0.25F);
     out.calibration = {calibration};
+    out.part_evidence = {{0xfedcba9876543212ULL, 2, 1.25, {0xfedcba9876543213ULL, 7}}};
+    out.quarantined = {{0xfedcba9876543214ULL, 300s, 2}, {5, -20s, 1}};
     return out;
 }
 
@@ -59,13 +61,22 @@
     EXPECT_EQ(decoded->evidence, sample_report().evidence);
 }
 
-// Guards against rejecting reports of VMs of the previous version, which do not report what they
-// learned about the engines.
-TEST(peer_report_test, report_without_calibration_is_read)
+// Guards against rejecting reports of VMs of earlier versions, which do not report what they
+// learned about the engines and about prompt parts.
+TEST(peer_report_test, report_of_an_earlier_version_is_read)
 {
+    constexpr std::size_t fields_without_calibration = 20;
+    constexpr std::size_t fields_without_parts = 21;
     auto report = nlohmann::json::from_msgpack(encode_peer_report(sample_report()));
-    report.erase(report.size() - 1);
-    const auto decoded = decode_peer_report(encode_msgpack(report));
+    report.erase(report.begin() + fields_without_parts, report.end());
+    auto decoded = decode_peer_report(encode_msgpack(report));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_TRUE(decoded->part_evidence.empty());
+    EXPECT_TRUE(decoded->quarantined.empty());
+    EXPECT_EQ(decoded->calibration, sample_report().calibration);
+
+    report.erase(report.begin() + fields_without_calibration, report.end());
+    decoded = decode_peer_report(encode_msgpack(report));
     ASSERT_TRUE(decoded.has_value());
     EXPECT_TRUE(decoded->calibration.empty());
     EXPECT_EQ(decoded->sessions, sample_report().sessions);
@@ -74,7 +85,8 @@
 TEST(peer_report_test, calibration_of_another_size_is_rejected)
 {
     auto report = nlohmann::json::from_msgpack(encode_peer_report(sample_report()));
-    report.back()[0][1].push_back(1.0);
+    constexpr std::size_t calibration = 20;
+    report[calibration][0][1].push_back(1.0);
     EXPECT_FALSE(decode_peer_report(encode_msgpack(report)).has_value());
 }
 
--- a/src/proxy/peer_table.cpp
+++ b/src/proxy/peer_table.cpp
@@ -144,6 +144,17 @@
     return out;
 }
 
+std::vector<std::string> peer_table::member_names(time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto& [vm, item] : members_) {
+        if (is_live(item, now)) {
+            out.push_back(vm.value);
+        }
+    }
+    return out;
+}
+
 std::vector<std::string> peer_table::addresses(std::uint64_t round, time_point now) const
 {
     std::vector<std::string> out = member_addresses(now);
--- a/src/proxy/peer_table.hpp
+++ b/src/proxy/peer_table.hpp
@@ -56,6 +56,8 @@
     /// Recipients of the report of this round: all live members and one address that is not live.
     [[nodiscard]] std::vector<std::string> addresses(std::uint64_t round, time_point now) const;
     [[nodiscard]] std::vector<std::string> member_addresses(time_point now) const;
+    /// Names of the live members.
+    [[nodiscard]] std::vector<std::string> member_names(time_point now) const;
     /// Recipients of the digest of this round: the speaker of each other domain or, if none is
     /// live, one of the domain's known addresses.
     [[nodiscard]] std::vector<std::string> digest_addresses(std::uint64_t round,
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -77,10 +77,11 @@
 
 proxy_core::proxy_core(proxy_settings settings, metrics& registry, time_point now)
     : settings_{std::move(settings)}, counters_{registry}, started_at_{now},
-      generator_{settings_.seed}, schedule_{settings_.reading}, directory_{settings_.directory,
-                                                                           settings_.regions},
-      pool_{settings_.pool}, chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
-      link_{link_limit(settings_), now}, retries_{settings_.retry}, cascade_{settings_.models},
+      generator_{settings_.seed}, schedule_{settings_.reading},
+      directory_{settings_.directory, settings_.regions}, pool_{settings_.pool},
+      chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries}, link_{link_limit(settings_),
+                                                                              now},
+      quarantine_{settings_.quarantine}, retries_{settings_.retry}, cascade_{settings_.models},
       bills_{settings_.self, settings_.report_address, settings_.bills},
       calibration_{settings_.calibration}, rollouts_{settings_.self, settings_.rollout},
       peers_{{settings_.self, settings_.report_address, settings_.failure_domain,
@@ -154,6 +155,54 @@
                    shortest_retry_after);
 }
 
+std::vector<part_key> proxy_core::part_keys(const admission& admitted,
+                                            const proxied_request& request)
+{
+    const std::uint64_t service = hash64(admitted.service);
+    std::vector<part_key> out;
+    for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
+        out.push_back(combine_hashes(service, request.parts[i].id));
+    }
+    return out;
+}
+
+std::optional<error> proxy_core::check_parts(const proxied_request& request,
+                                             std::span<const part_key> parts, time_point now) const
+{
+    const auto hold = quarantine_.find(parts, now);
+    if (!hold) {
+        return std::nullopt;
+    }
+    const auto at = std::ranges::find(parts, hold->part) - parts.begin();
+    const std::uint64_t id = request.parts[static_cast<std::size_t>(at)].id;
+    return refusal(error_code::prompt_quarantined, step::admit,
+                   "Part " + hex_text(id) + " of the prompt has crashed several replicas (key " +
+                       hex_text(hold->part) + ").",
+                   hold->remaining);
+}
+
+void proxy_core::note_parts(std::span<const part_key> parts, const placement& placed,
+                            part_outcome outcome, time_point now)
+{
+    const auto* replica = directory_.find(placed.upstream);
+    const std::uint64_t started = replica == nullptr ? 0 : replica->announcement.started_ms;
+    const replica_run run = combine_hashes(started, hash64(placed.upstream.value));
+    switch (outcome) {
+    case part_outcome::survived:
+        quarantine_.note_survived(parts, now);
+        break;
+    case part_outcome::dropped:
+        quarantine_.note_dropped(parts, run, now);
+        break;
+    case part_outcome::lost:
+        quarantine_.note_lost(parts, run, now);
+        break;
+    case part_outcome::connection_refused:
+        quarantine_.note_down(run, now);
+        break;
+    }
+}
+
 retry_budget& proxy_core::budget_of(const std::string& service, time_point now)
 {
     const auto [it, added] = retry_budgets_.try_emplace(service, settings_.retry, now);
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -11,6 +11,7 @@
 #include "proxy/replica_directory.hpp"
 #include "proxy/rollout_tracker.hpp"
 #include "proxy/session_affinity.hpp"
+#include "quarantine/prompt_quarantine.hpp"
 #include "retry/retry_policy.hpp"
 #include "routing/link_budget.hpp"
 #include "routing/prefix_index.hpp"
@@ -23,6 +24,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -133,6 +135,7 @@
     calibration_settings calibration{};
     /// Time between two reports of what was learned about the engines.
     duration calibration_interval{1s};
+    quarantine_settings quarantine{};
     retry_settings retry{};
     domain_bill_settings bills{};
     double prefill_cost{0}; ///< money units per 1000 prompt tokens
@@ -140,6 +143,10 @@
     std::uint64_t seed{1};
 };
 
+/// What became of an attempt: its answer went on past its beginning, or at the beginning it was
+/// dropped for a larger model or lost with the connection, or the connection was refused.
+enum class part_outcome { survived, dropped, lost, connection_refused };
+
 struct readiness {
     bool ready{false};
     std::string reason; ///< why the VM is not ready
@@ -199,6 +206,18 @@
     /// be valid. Returns the refusal (not_ready, not_run) otherwise.
     [[nodiscard]] std::optional<error> check_permission(const admission& admitted,
                                                         time_point now) const;
+    /// Keys of the request's prompt parts that other requests may share.
+    [[nodiscard]] static std::vector<part_key> part_keys(const admission& admitted,
+                                                         const proxied_request& request);
+    /// Returns the refusal (prompt_quarantined, not_run) of a request with a part that crashes
+    /// replicas.
+    [[nodiscard]] std::optional<error> check_parts(const proxied_request& request,
+                                                   std::span<const part_key> parts,
+                                                   time_point now) const;
+    /// Records what became of an attempt, as evidence on the parts of its prompt.
+    void note_parts(std::span<const part_key> parts, const placement& placed, part_outcome outcome,
+                    time_point now);
+    prompt_quarantine& quarantine() { return quarantine_; }
     /// Chooses a replica for the request and counts the attempt in its load until finish(). Errors,
     /// all not_run: no_upstream, queue_full.
     expected<placement> place(const admission& admitted, const proxied_request& request,
@@ -289,6 +308,9 @@
                                                 const proxied_request& request, std::size_t model,
                                                 time_point now);
     void publish_calibration(time_point now);
+    void take_quarantine(const peer_report& report, time_point now);
+    /// Adds the evidence on prompt parts, and the quarantines, to a report.
+    void fill_quarantine(peer_report& report, time_point now) const;
     [[nodiscard]] std::optional<replica_index> home_of(const version_id& version,
                                                        std::uint64_t prefix) const;
     retry_budget& budget_of(const std::string& service, time_point now);
@@ -328,6 +350,7 @@
     replica_chooser chooser_;
     prefix_index prefixes_;
     link_budget link_;
+    prompt_quarantine quarantine_;
     retry_policy retries_;
     model_cascade cascade_;
     domain_bills bills_;
--- a/src/proxy/proxy_core_state.cpp
+++ b/src/proxy/proxy_core_state.cpp
@@ -117,6 +117,7 @@
                           member ? calibration_source::member : calibration_source::other_domain,
                           report.calibration, now);
     }
+    take_quarantine(report, now);
     const auto source = member ? session_source::member : session_source::other_domain;
     for (const auto& item : report.sessions) {
         sessions_.remember(item.session, item.software, now - item.age, source);
@@ -124,6 +125,26 @@
     return true;
 }
 
+void proxy_core::take_quarantine(const peer_report& report, time_point now)
+{
+    const bool member = report.scope == report_scope::vm;
+    quarantine_.take(member ? report.from.vm.value : report.domain.value, report.part_evidence,
+                     now);
+    for (const auto& imposed : report.quarantined) {
+        quarantine_.adopt(imposed, now);
+    }
+}
+
+void proxy_core::fill_quarantine(peer_report& report, time_point now) const
+{
+    std::vector<std::string> members;
+    if (report.scope == report_scope::domain) {
+        members = peers_.member_names(now);
+    }
+    report.part_evidence = quarantine_.evidence(members, now);
+    report.quarantined = quarantine_.quarantined(now);
+}
+
 // The report states the age of the peer's read when it was sent, and it was sent after the peer had
 // received the acknowledged report of this VM. The time at which that report was made, less the
 // age, is therefore not later than the start of the peer's read.
@@ -174,6 +195,7 @@
     rollouts_.fill(report, now);
     report.sessions = sessions_.exposed(
         settings_.rollout, digest ? session_source::member : session_source::self, now);
+    fill_quarantine(report, now);
     time_point& next = next_calibration_report_[static_cast<std::size_t>(scope)];
     if (now >= next) {
         next = now + settings_.calibration_interval;
@@ -197,6 +219,7 @@
     }
     refresh_loads(now);
     evaluate_rollouts(now);
+    quarantine_.evaluate(now);
     publish_calibration(now);
     return rollouts_.publications(peers_.rank(stopping_, now), now);
 }
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -95,6 +95,7 @@
         return expired_request_step();
     }
     admitted_ = std::move(*admitted);
+    parts_ = proxy_core::part_keys(*admitted_, request_);
     core_.count_request(*admitted_, now);
     return place(duration{0}, now);
 }
@@ -104,6 +105,9 @@
     if (const auto refused = core_.check_permission(*admitted_, now)) {
         return give_up(*refused, now);
     }
+    if (const auto refused = core_.check_parts(request_, parts_, now)) {
+        return give_up(*refused, now);
+    }
     auto placed = core_.place(*admitted_, request_, history_, now);
     if (!placed) {
         error reason = placed.error();
@@ -113,6 +117,7 @@
         return give_up(reason, now);
     }
     placed_ = std::move(*placed);
+    tests_quarantine_ = core_.quarantine().note_sent(parts_, now);
     head_seen_ = false;
     head_refused_ = false;
     events_ = 0;
@@ -216,6 +221,7 @@
         return relay_step{};
     }
     core_.note_answer(*admitted_, *placed_, {.slow = slow(now)});
+    note_parts(part_outcome::dropped, now);
     first_event_at_ = now;
     end_attempt(attempt_result::succeeded, now);
     history_.model = larger_model;
@@ -272,11 +278,28 @@
     return (last_event_at_ - *first_event_at_) / static_cast<std::int64_t>(events_ - 1);
 }
 
+// A replica that crashes on a prompt does so when it begins the answer. One event may still arrive.
+bool request_flow::past_beginning() const
+{
+    constexpr std::uint64_t events_of_beginning = 1;
+    return events_ > events_of_beginning;
+}
+
+void request_flow::note_parts(part_outcome outcome, time_point now)
+{
+    if (placed_ && !parts_.empty()) {
+        core_.note_parts(parts_, *placed_, outcome, now);
+    }
+}
+
 void request_flow::end_attempt(attempt_result result, time_point now)
 {
     if (!placed_) {
         return;
     }
+    if (past_beginning()) {
+        note_parts(part_outcome::survived, now);
+    }
     if (head_seen_ && !head_refused_) {
         bill_lines_.push_back(
             core_.bill_line_of(*admitted_, *placed_, request_.prompt_tokens, events_));
@@ -303,6 +326,12 @@
         const bool silent = failure.code == error_code::upstream_timeout;
         core_.note_answer(*admitted_, *placed_, {.failed = !silent, .slow = silent});
     }
+    if (failure.connection_refused) {
+        note_parts(part_outcome::connection_refused, now);
+    }
+    else if (failure.connection_lost && !past_beginning()) {
+        note_parts(part_outcome::lost, now);
+    }
     end_attempt(failure.withdrawn ? attempt_result::cancelled : attempt_result::failed, now);
     return retry(failure, now);
 }
@@ -351,7 +380,8 @@
 
 bool request_flow::may_send(time_point now) const
 {
-    return now - sent_at_ <= longest_send_delay && !core_.check_permission(*admitted_, now);
+    return now - sent_at_ <= longest_send_delay && !core_.check_permission(*admitted_, now) &&
+           (tests_quarantine_ || !core_.check_parts(request_, parts_, now));
 }
 
 duration request_flow::stall_timeout() const
@@ -379,6 +409,9 @@
             *admitted_, *placed_,
             {.failed = failing_, .slow = slow(now), .mean_event_interval = mean_event_interval()});
     }
+    if (!failing_ && !past_beginning()) {
+        note_parts(part_outcome::survived, now);
+    }
     end_attempt(failing_ ? attempt_result::failed : attempt_result::succeeded, now);
     bill_request(failing_ ? bill_outcome::cancelled : bill_outcome::answered, now);
 }
--- /dev/null
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -0,0 +1,283 @@
+#include "quarantine/prompt_quarantine.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace wagtailhitch {
+namespace {
+
+constexpr part_key common = 1;
+constexpr part_key deadly = 66;
+
+class prompt_quarantine_test : public testing::Test {
+protected:
+    [[nodiscard]] time_point now() const { return clock_.now(); }
+    /// Evaluates ten times a second for the given time.
+    void wait(duration time)
+    {
+        for (const time_point until = now() + time; now() < until; clock_.advance(100ms)) {
+            quarantine_.evaluate(now());
+        }
+    }
+    void lose(const std::vector<part_key>& parts, replica_run run)
+    {
+        quarantine_.note_lost(parts, run, now());
+    }
+    void survive(const std::vector<part_key>& parts, int n)
+    {
+        for (int i = 0; i < n; ++i) {
+            quarantine_.note_survived(parts, now());
+        }
+    }
+    bool holds(part_key part) { return quarantine_.find(std::vector{part}, now()).has_value(); }
+
+    manual_clock clock_;
+    prompt_quarantine quarantine_;
+};
+
+TEST_F(prompt_quarantine_test, part_of_four_lost_runs_and_no_answer_is_quarantined)
+{
+    survive({common}, 20);
+    for (replica_run run = 1; run <= 4; ++run) {
+        EXPECT_FALSE(holds(deadly));
+        lose({common, deadly}, run);
+        wait(1s);
+    }
+    wait(1100ms);
+    EXPECT_TRUE(holds(deadly));
+    EXPECT_FALSE(holds(common)) << "Answers with it went on.";
+}
+
+TEST_F(prompt_quarantine_test, requests_lost_with_one_replica_count_once)
+{
+    for (int i = 0; i < 10; ++i) {
+        lose({deadly}, 1);
+    }
+    wait(3s);
+    EXPECT_FALSE(holds(deadly));
+}
+
+TEST_F(prompt_quarantine_test, part_of_answers_that_go_on_is_not_quarantined)
+{
+    for (replica_run run = 1; run <= 12; ++run) {
+        lose({common}, run);
+        survive({common}, 4);
+        wait(500ms);
+    }
+    EXPECT_FALSE(holds(common));
+}
+
+TEST_F(prompt_quarantine_test, part_beside_the_one_that_crashes_replicas_is_not_blamed)
+{
+    constexpr part_key bystander = 7;
+    for (replica_run run = 1; run <= 6; ++run) {
+        lose({deadly}, run);
+        if (run > 3) {
+            lose({bystander}, run);
+        }
+    }
+    wait(2s);
+    EXPECT_TRUE(holds(deadly));
+    EXPECT_FALSE(holds(bystander));
+}
+
+TEST_F(prompt_quarantine_test, of_parts_that_occur_together_the_most_specific_is_quarantined)
+{
+    constexpr part_key shared_with_others = 7;
+    for (replica_run run = 1; run <= 4; ++run) {
+        lose({shared_with_others, deadly}, run);
+    }
+    wait(2s);
+    EXPECT_TRUE(holds(deadly));
+    EXPECT_FALSE(holds(shared_with_others));
+}
+
+TEST_F(prompt_quarantine_test, wrong_specific_part_leads_to_the_one_that_goes_on_crashing_replicas)
+{
+    for (replica_run run = 1; run <= 4; ++run) {
+        lose({deadly, 7}, run);
+    }
+    wait(4s);
+    ASSERT_TRUE(holds(7));
+    for (replica_run run = 5; run <= 8; ++run) {
+        lose({deadly, 100 + run}, run);
+    }
+    wait(2s);
+    EXPECT_TRUE(holds(deadly));
+}
+
+TEST_F(prompt_quarantine_test, parts_of_equal_evidence_are_quarantined_only_after_more_lost_runs)
+{
+    for (replica_run run = 1; run <= 5; ++run) {
+        lose({deadly}, run);
+        lose({7}, run);
+    }
+    wait(3s);
+    EXPECT_FALSE(holds(deadly));
+    lose({deadly}, 6);
+    wait(2s);
+    EXPECT_TRUE(holds(deadly));
+    EXPECT_FALSE(holds(7));
+}
+
+TEST_F(prompt_quarantine_test, runs_lost_around_a_quarantine_are_not_held_against_other_parts)
+{
+    constexpr part_key bystander = 7;
+    quarantine_.adopt({deadly, 100s, 1}, now());
+    for (replica_run run = 1; run <= 4; ++run) {
+        lose({bystander}, run);
+        wait(400ms);
+    }
+    wait(3s);
+    EXPECT_FALSE(holds(bystander));
+    for (replica_run run = 5; run <= 8; ++run) {
+        lose({bystander}, run);
+    }
+    wait(2s);
+    EXPECT_TRUE(holds(bystander)) << "It crashes replicas by itself.";
+}
+
+TEST_F(prompt_quarantine_test, answer_dropped_just_before_the_replica_is_lost_counts)
+{
+    for (replica_run run = 1; run <= 4; ++run) {
+        quarantine_.note_dropped(std::vector{deadly}, run, now());
+        clock_.advance(100ms);
+        quarantine_.note_down(run, now());
+    }
+    wait(2s);
+    EXPECT_TRUE(holds(deadly));
+}
+
+TEST_F(prompt_quarantine_test, answer_dropped_long_before_the_replica_is_lost_does_not_count)
+{
+    for (replica_run run = 1; run <= 5; ++run) {
+        quarantine_.note_dropped(std::vector{deadly}, run, now());
+        clock_.advance(3100ms);
+        quarantine_.note_down(run, now());
+    }
+    wait(2s);
+    EXPECT_FALSE(holds(deadly));
+}
+
+TEST_F(prompt_quarantine_test, answer_dropped_before_another_vm_lost_the_replica_counts)
+{
+    for (replica_run run = 1; run <= 4; ++run) {
+        quarantine_.note_dropped(std::vector{deadly}, run, now());
+        clock_.advance(500ms);
+        quarantine_.take("vm-2", {{common, 0, 0, {run}}}, now());
+        quarantine_.note_survived(std::vector{common}, now());
+    }
+    wait(2s);
+    EXPECT_TRUE(holds(deadly));
+}
+
+TEST_F(prompt_quarantine_test, evidence_of_several_vms_is_pooled)
+{
+    lose({deadly}, 1);
+    quarantine_.take("vm-2", {{deadly, 0, 0, {2, 4}}}, now());
+    quarantine_.take("vm-3", {{deadly, 0, 0, {2, 3}}}, now());
+    wait(1200ms);
+    EXPECT_TRUE(holds(deadly));
+}
+
+TEST_F(prompt_quarantine_test, answers_that_other_vms_report_keep_a_part_in_use)
+{
+    for (replica_run run = 1; run <= 4; ++run) {
+        lose({common}, run);
+    }
+    quarantine_.take("vm-2", {{common, 0, 10, {}}}, now());
+    wait(3s);
+    EXPECT_FALSE(holds(common));
+}
+
+TEST_F(prompt_quarantine_test, vm_reports_its_answers_for_the_suspects_of_others)
+{
+    survive({common, 5}, 3);
+    EXPECT_TRUE(quarantine_.evidence({}, now()).empty());
+    quarantine_.take("vm-2", {{common, 0, 0, {1}}}, now());
+    const auto reported = quarantine_.evidence({}, now());
+    ASSERT_EQ(reported.size(), 1U);
+    EXPECT_EQ(reported.front().part, common);
+    EXPECT_NEAR(reported.front().survivals, 3, 0.01);
+    EXPECT_TRUE(reported.front().crashes.empty());
+}
+
+TEST_F(prompt_quarantine_test, quarantine_of_another_vm_applies_and_explains_its_lost_runs)
+{
+    constexpr part_key bystander = 7;
+    quarantine_.take("vm-2", {{deadly, 1, 0, {1, 2, 3, 4, 5}}, {bystander, 1, 0, {1, 2, 3, 4}}},
+                     now());
+    quarantine_.adopt({deadly, 100s, 1}, now());
+    EXPECT_TRUE(holds(deadly));
+    wait(5s);
+    EXPECT_FALSE(holds(bystander));
+}
+
+TEST_F(prompt_quarantine_test, one_request_tests_a_part_once_its_quarantine_is_over)
+{
+    quarantine_.adopt({deadly, 60s, 1}, now());
+    const std::vector parts{common, deadly};
+    EXPECT_EQ(quarantine_.find(parts, now())->remaining, 60s);
+    EXPECT_EQ(quarantine_.find(parts, now())->part, deadly);
+    clock_.advance(60s);
+    EXPECT_FALSE(holds(deadly));
+    EXPECT_TRUE(quarantine_.note_sent(parts, now()));
+    EXPECT_TRUE(holds(deadly)) << "The test has no result yet.";
+    EXPECT_FALSE(quarantine_.note_sent(std::vector{common}, now()));
+
+    lose({deadly}, 9);
+    EXPECT_EQ(quarantine_.find(parts, now())->remaining, 600s) << "It failed: twice as long.";
+    clock_.advance(600s);
+    survive({deadly}, 1);
+    EXPECT_FALSE(holds(deadly));
+    EXPECT_TRUE(quarantine_.quarantined(now()).empty());
+}
+
+TEST_F(prompt_quarantine_test, changes_are_told_once)
+{
+    quarantine_.adopt({deadly, 60s, 1}, now());
+    quarantine_.adopt({deadly, 60s, 1}, now());
+    ASSERT_EQ(quarantine_.take_changes().size(), 1U);
+    EXPECT_TRUE(quarantine_.take_changes().empty());
+    clock_.advance(61s);
+    survive({deadly}, 1);
+    const auto changes = quarantine_.take_changes();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_TRUE(changes.front().released);
+}
+
+TEST_F(prompt_quarantine_test, memory_and_reports_stay_bounded)
+{
+    for (part_key part = 0; part < 20000; ++part) {
+        survive({part}, 1);
+        lose({part}, part);
+        clock_.advance(10ms);
+        if (part % 100 == 0) {
+            quarantine_.evaluate(now());
+        }
+    }
+    EXPECT_LE(quarantine_.evidence({}, now()).size(), quarantine_settings{}.reported_parts);
+    wait(130s);
+    EXPECT_TRUE(quarantine_.evidence({}, now()).empty());
+}
+
+// Whatever the traffic, a part with which answers go on as often as replicas are lost stays in use.
+RC_GTEST_FIXTURE_PROP(prompt_quarantine_test, sound_part_stays_in_use_beside_any_crashes, ())
+{
+    const auto losses = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
+    replica_run run = 0;
+    for (const int kind : losses) {
+        ++run;
+        lose(kind % 2 == 0 ? std::vector{common, deadly} : std::vector{common}, run);
+        survive({common}, 1);
+        wait(200ms);
+    }
+    wait(2s);
+    RC_ASSERT(!holds(common));
+}
+
+} // namespace
+} // namespace wagtailhitch
