Compare streams at lightly loaded replicas with the fastest established ones

Cause: the mean pause between events of established streams grows with their load and with slow replicas, so that a slower version with little load looks usual; and all traffic moved to a version that was not shown to be bad, instead of one that looks good.

Evidence (logged pauses, trial): an idle good replica makes an event in 18 ms, whatever the established ones do; versions that are 1.45, 1.75 and 2 times slower in 26, 31 and 36 ms. The fastest fiftieth of established streams stays at 18 to 22 ms even when half or more of the replicas are 3 times slower, while their mean doubles.

Change: streams of a version at lightly loaded replicas that take 1.2 times as long as the fastest fiftieth count as sluggish; VMs report their fastest interval; established replicas in trouble excuse at most a rate of 0.6. While a signal is three times as likely for a worse version, the roll-out stays at its trial share, and is rolled back if that lasts until the end.

The tests of rollout_tracker_test and service_rollout_test that this adds were written with the change.

--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -55,7 +55,7 @@
     json out = json::array();
     for (const auto& item : evidence) {
         out.push_back({item.group.value, item.counts.answers, item.counts.errors, item.counts.slow,
-                       item.counts.dragged});
+                       item.counts.dragged, item.counts.paced, item.counts.sluggish});
     }
     return out;
 }
@@ -97,6 +97,17 @@
     return out;
 }
 
+json encode_paces(const std::vector<reported_pace>& paces)
+{
+    json out = json::array();
+    for (const auto& item : paces) {
+        out.push_back(
+            {item.service,
+             std::chrono::duration_cast<std::chrono::microseconds>(item.fastest_interval).count()});
+    }
+    return out;
+}
+
 duration milliseconds(std::int64_t value)
 {
     return std::chrono::milliseconds{value};
@@ -158,14 +169,17 @@
 {
     for (const auto& item : array) {
         constexpr std::size_t dragged_index = 4;
+        constexpr std::size_t paced_index = 5;
         field_reader in{item};
         reported_evidence evidence;
         evidence.group = version_id{in.text()};
         evidence.counts.answers = in.number();
         evidence.counts.errors = in.number();
         evidence.counts.slow = in.number();
-        // Absent in reports of the previous version, which runs alongside this one in an upgrade.
+        // Absent in reports of earlier versions, which run alongside this one in an upgrade.
         evidence.counts.dragged = item.size() > dragged_index ? in.number() : 0;
+        evidence.counts.paced = item.size() > paced_index ? in.number() : 0;
+        evidence.counts.sluggish = item.size() > paced_index ? in.number() : 0;
         if (!in.complete()) {
             return false;
         }
@@ -249,6 +263,21 @@
     return true;
 }
 
+bool decode_paces(const json& array, std::vector<reported_pace>& out)
+{
+    for (const auto& item : array) {
+        field_reader in{item};
+        reported_pace pace;
+        pace.service = in.text();
+        pace.fastest_interval = std::chrono::microseconds{in.number()};
+        if (!in.complete()) {
+            return false;
+        }
+        out.push_back(std::move(pace));
+    }
+    return true;
+}
+
 } // namespace
 
 std::string encode_peer_report(const peer_report& report)
@@ -275,7 +304,8 @@
                                        encode_sessions(report.sessions),
                                        encode_calibration(report.calibration),
                                        encode_part_evidence(report.part_evidence),
-                                       encode_quarantined(report.quarantined)}));
+                                       encode_quarantined(report.quarantined),
+                                       encode_paces(report.paces)}));
 }
 
 expected<peer_report> decode_peer_report(std::string_view data)
@@ -311,7 +341,8 @@
                                 decode_calibration(in.array(), report.calibration)) &&
                                (value->size() <= part_evidence_index ||
                                 (decode_part_evidence(in.array(), report.part_evidence) &&
-                                 decode_quarantined(in.array(), report.quarantined)));
+                                 decode_quarantined(in.array(), report.quarantined) &&
+                                 decode_paces(in.array(), report.paces)));
     if (!known || !scope || !lists_decoded || !in.complete()) {
         return tl::unexpected(malformed(step::peer, report_name));
     }
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -57,6 +57,15 @@
     friend bool operator==(const reported_evidence&, const reported_evidence&) = default;
 };
 
+/// Interval between the events of the fastest streams of a service's established software. Reported
+/// while a roll-out of the service is running.
+struct reported_pace {
+    std::string service;
+    duration fastest_interval{};
+
+    friend bool operator==(const reported_pace&, const reported_pace&) = default;
+};
+
 /// Acknowledges the newest report that the sender has accepted from another VM. It tells that VM
 /// that the acknowledging report was made after the acknowledged one.
 struct received_report {
@@ -108,6 +117,7 @@
     std::vector<reported_calibration> calibration;
     std::vector<wagtailhitch::part_evidence> part_evidence;
     std::vector<quarantined_part> quarantined;
+    std::vector<reported_pace> paces;
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -27,13 +27,15 @@
     out.rollouts = {
         {{"engine", "v2", 24s}, 3s, rollout_state::rolled_back, rollout_state::running, "errors"},
         {{"app", "v3", 12s}, 1s, rollout_state::running, std::nullopt, ""}};
-    out.evidence = {{version_id{"engine@v2#r"}, {.answers = 10, .errors = 2, .slow = 1}}};
+    out.evidence = {{version_id{"engine@v2#r"},
+                     {.answers = 10, .errors = 2, .slow = 1, .paced = 6, .sluggish = 4}}};
     out.sessions = {{0xfedcba9876543210ULL, "v2", 40ms}};
     reported_calibration calibration;
     calibration.engine = 0xfedcba9876543211ULL;
     calibration.moments.fill(0.25F);
     out.calibration = {calibration};
     out.part_evidence = {{0xfedcba9876543212ULL, 2, 1.25, {0xfedcba9876543213ULL, 7}}};
+    out.paces = {{"engine", 18250us}};
     out.quarantined = {{0xfedcba9876543214ULL, 300s, 2}, {5, -20s, 1}};
     return out;
 }
@@ -45,20 +47,24 @@
     EXPECT_EQ(*decoded, sample_report());
 }
 
-// Guards against rejecting reports of VMs of the previous version, which lack the newest count and
+// Guards against rejecting reports of VMs of the previous version, which lack the newer counts and
 // run alongside new VMs during an upgrade.
-TEST(peer_report_test, evidence_without_the_newest_count_is_read)
+TEST(peer_report_test, evidence_without_the_newer_counts_is_read)
 {
     auto report = nlohmann::json::from_msgpack(encode_peer_report(sample_report()));
     for (auto& field : report) {
         if (field.is_array() && !field.empty() && field[0].is_array() && !field[0].empty() &&
             field[0][0] == "engine@v2#r") {
-            field[0].erase(field[0].size() - 1);
+            constexpr int counts_of_the_first_version = 4;
+            field[0].erase(field[0].begin() + counts_of_the_first_version, field[0].end());
         }
     }
     const auto decoded = decode_peer_report(encode_msgpack(report));
     ASSERT_TRUE(decoded.has_value());
-    EXPECT_EQ(decoded->evidence, sample_report().evidence);
+    auto expected_evidence = sample_report().evidence;
+    expected_evidence[0].counts.paced = 0;
+    expected_evidence[0].counts.sluggish = 0;
+    EXPECT_EQ(decoded->evidence, expected_evidence);
 }
 
 // Guards against rejecting reports of VMs of earlier versions, which do not report what they
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -405,9 +405,11 @@
 void request_flow::on_end(time_point now)
 {
     if (placed_) {
-        core_.note_answer(
-            *admitted_, *placed_,
-            {.failed = failing_, .slow = slow(now), .mean_event_interval = mean_event_interval()});
+        core_.note_answer(*admitted_, *placed_,
+                          {.failed = failing_,
+                           .slow = slow(now),
+                           .mean_event_interval = mean_event_interval(),
+                           .load = placed_->inputs.load_share});
     }
     if (!failing_ && !past_beginning()) {
         note_parts(part_outcome::survived, now);
--- a/src/proxy/rollout_tracker.cpp
+++ b/src/proxy/rollout_tracker.cpp
@@ -39,6 +39,8 @@
     rollouts_.erase(order.service);
     rollouts_.emplace(order.service, service_rollout{order, now, settings_});
     publication_due_.erase(order.service);
+    member_paces_.erase(order.service);
+    domain_paces_.erase(order.service);
 }
 
 service_rollout* rollout_tracker::find(const std::string& service, const std::string& target)
@@ -80,6 +82,14 @@
             evidence_.set(report.from, item.group, item.counts);
         }
     }
+    for (const auto& item : report.paces) {
+        if (report.scope == report_scope::domain) {
+            domain_paces_[item.service][report.domain] = item.fastest_interval;
+        }
+        else {
+            member_paces_[item.service][report.from.vm] = item.fastest_interval;
+        }
+    }
     for (const auto& item : report.rollouts) {
         const auto it = rollouts_.find(item.order.service);
         if (it == rollouts_.end() || it->second.order() != item.order) {
@@ -98,6 +108,14 @@
     for (const auto& [service, rollout] : rollouts_) {
         report.rollouts.push_back({rollout.order(), rollout.age(now), rollout.state(),
                                    rollout.published(), rollout.reason()});
+        const bool digest = report.scope == report_scope::domain;
+        const auto own = paces_.find(service);
+        const auto fastest = digest                ? fastest_interval(service, true)
+                             : own != paces_.end() ? own->second.fastest_interval()
+                                                   : std::nullopt;
+        if (fastest && rollout.state() == rollout_state::running) {
+            report.paces.push_back({service, *fastest});
+        }
     }
     if (report.scope == report_scope::vm) {
         for (const auto& [group, counts] : own_evidence_) {
@@ -137,26 +155,58 @@
 
 // Streams of a version on trial are compared with the pace of established software but do not
 // contribute to that pace.
-bool rollout_tracker::has_slow_stream(const observed_answer& answer)
+std::optional<duration> rollout_tracker::fastest_interval(const std::string& service,
+                                                          bool own_domain_only) const
+{
+    constexpr std::size_t disturbed_share = 4;
+    std::vector<duration> known;
+    const auto add = [&](const auto& sources) {
+        if (const auto it = sources.find(service); it != sources.end()) {
+            for (const auto& [source, interval] : it->second) {
+                known.push_back(interval);
+            }
+        }
+    };
+    add(member_paces_);
+    if (!own_domain_only) {
+        add(domain_paces_);
+    }
+    if (const auto it = paces_.find(service); it != paces_.end()) {
+        if (const auto own = it->second.fastest_interval()) {
+            known.push_back(*own);
+        }
+    }
+    if (known.empty()) {
+        return std::nullopt;
+    }
+    std::ranges::sort(known);
+    return known[known.size() / disturbed_share];
+}
+
+rollout_tracker::stream_pace rollout_tracker::pace_of(const observed_answer& answer)
 {
     const auto& interval = answer.quality.mean_event_interval;
     if (!interval) {
-        return false;
+        return {};
     }
     event_interval_baseline& baseline_pace = paces_[answer.service];
-    const bool dragged = baseline_pace.is_slow_interval(*interval);
+    const auto fastest = fastest_interval(answer.service, false);
+    stream_pace pace{baseline_pace.is_slow_interval(*interval), {}};
+    if (fastest && baseline_pace.is_lightly_loaded(answer.quality.load)) {
+        pace.sluggish = baseline_pace.is_sluggish(*interval, *fastest);
+    }
     const service_rollout* rollout = find(answer.service);
     const bool on_trial = rollout != nullptr && rollout->state() != rollout_state::complete &&
                           rollout->order().target == answer.software;
     if (!on_trial) {
-        baseline_pace.note(*interval);
+        baseline_pace.note(*interval, answer.quality.load);
     }
-    return dragged;
+    return pace;
 }
 
 void rollout_tracker::note_answer(const observed_answer& answer)
 {
-    const bool dragged = has_slow_stream(answer);
+    const stream_pace pace = pace_of(answer);
     for (const std::string_view part : {all_routes, answer.route}) {
         const version_id group =
             evidence_group(software_version_id(answer.service, answer.software), part);
@@ -164,7 +214,9 @@
         ++counts.answers;
         counts.errors += answer.quality.failed ? 1 : 0;
         counts.slow += answer.quality.slow ? 1 : 0;
-        counts.dragged += dragged ? 1 : 0;
+        counts.dragged += pace.dragged ? 1 : 0;
+        counts.paced += pace.sluggish ? 1 : 0;
+        counts.sluggish += pace.sluggish.value_or(false) ? 1 : 0;
         evidence_.set(self_, group, counts);
     }
 }
@@ -174,15 +226,20 @@
                                       const rollout_context& context)
 {
     const version_id candidate = software_version_id(service, rollout.order().target);
+    bool in_doubt = false;
     const auto halts = [&](std::string_view route) {
         const version_counts counts = total(evidence_group(candidate, route));
         version_counts baseline;
         for (const auto& software : context.old_software) {
             baseline += total(evidence_group(software_version_id(service, software), route));
         }
-        return counts.answers > 0 && rollout.evaluate(counts, baseline);
+        const auto verdict = rollout.evaluate(counts, baseline);
+        in_doubt = in_doubt || verdict.in_doubt;
+        return verdict.halt;
     };
-    return halts(all_routes) || std::ranges::any_of(routes, halts);
+    const bool halted = halts(all_routes) || std::ranges::any_of(routes, halts);
+    rollout.set_in_doubt(in_doubt);
+    return halted;
 }
 
 std::size_t rollout_tracker::evaluate(const std::vector<std::string>& routes,
--- a/src/proxy/rollout_tracker.hpp
+++ b/src/proxy/rollout_tracker.hpp
@@ -44,6 +44,7 @@
     bool failed{false};
     bool slow{false};                              ///< its first byte was late
     std::optional<duration> mean_event_interval{}; ///< mean interval between events, for streams
+    double load{0}; ///< share of the replica's slots in use when the request was sent, 0 to 1
 };
 
 struct observed_answer {
@@ -88,7 +89,16 @@
     [[nodiscard]] service_rollout* find(const std::string& service, const std::string& target);
     [[nodiscard]] bool is_under_evaluation(const version_id& group) const;
     [[nodiscard]] version_counts total(const version_id& group) const;
-    [[nodiscard]] bool has_slow_stream(const observed_answer& answer);
+    /// How the events of an answer compare with those of established software.
+    struct stream_pace {
+        bool dragged{false};
+        std::optional<bool> sluggish{};
+    };
+    [[nodiscard]] stream_pace pace_of(const observed_answer& answer);
+    /// Interval between the events of the fastest streams of established software, as seen by this
+    /// VM and the given sources. Leaves out a quarter of them, whose measurement may be disturbed.
+    [[nodiscard]] std::optional<duration> fastest_interval(const std::string& service,
+                                                           bool own_domain_only) const;
     bool evaluate_groups(const std::string& service, service_rollout& rollout,
                          const std::vector<std::string>& routes, const rollout_context& context);
 
@@ -101,6 +111,9 @@
     std::map<version_id, version_counts> own_evidence_;
     std::map<std::string, event_interval_baseline>
         paces_; ///< pace of established software, by service
+    /// Fastest intervals that members and other domains report, by service.
+    std::map<std::string, std::map<vm_id, duration>> member_paces_;
+    std::map<std::string, std::map<failure_domain_id, duration>> domain_paces_;
 };
 
 } // namespace wagtailhitch
--- a/src/proxy/rollout_tracker_test.cpp
+++ b/src/proxy/rollout_tracker_test.cpp
@@ -28,6 +28,17 @@
         }
     }
 
+    /// Records streams of loaded replicas, of which six in ten are three times slower.
+    void answer_streams_of_troubled_replicas(const std::string& software, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            const duration at_load = 19ms + 2ms * (i % 10);
+            const double load = 0.05 + 0.04 * (i % 10);
+            answer(software, 1,
+                   {.mean_event_interval = i / 10 % 10 < 6 ? 3 * at_load : at_load, .load = load});
+        }
+    }
+
     rollout_state evaluate_rollout()
     {
         const auto context = [](const std::string&, const std::string&) {
@@ -80,6 +91,61 @@
     EXPECT_EQ(evaluate_rollout(), rollout_state::rolled_back);
 }
 
+// Guards against missing a version that is slower by less, on few replicas and while established
+// ones are slow too. The intervals are those of days on both small deployments: 18 ms on an idle
+// replica, more under load, three times as much on six replicas of ten.
+TEST_F(rollout_tracker_test, version_slower_by_half_is_halted_while_established_replicas_are_slow)
+{
+    answer_streams_of_troubled_replicas("v1", 300);
+    answer("v2", 30, {.mean_event_interval = 27ms, .load = 0.01});
+    EXPECT_EQ(evaluate_rollout(), rollout_state::rolled_back);
+}
+
+TEST_F(rollout_tracker_test, version_as_fast_as_the_fastest_goes_on_beside_slow_replicas)
+{
+    answer_streams_of_troubled_replicas("v1", 300);
+    for (int i = 0; i < 100; ++i) {
+        answer("v2", 1, {.mean_event_interval = i % 5 == 0 ? 40ms : 18ms, .load = 0.01});
+        EXPECT_EQ(evaluate_rollout(), rollout_state::running);
+    }
+}
+
+TEST_F(rollout_tracker_test, version_on_loaded_replicas_is_not_compared_with_the_fastest_streams)
+{
+    answer_streams_of_troubled_replicas("v1", 300);
+    answer("v2", 100, {.mean_event_interval = 35ms, .load = 0.3});
+    EXPECT_EQ(evaluate_rollout(), rollout_state::running);
+}
+
+TEST_F(rollout_tracker_test, vm_without_established_streams_uses_the_intervals_of_others)
+{
+    for (const char* vm : {"vm-2", "vm-3", "vm-4"}) {
+        peer_report report;
+        report.from = {vm_id{vm}, 1};
+        report.paces = {{"engine", 18ms}};
+        tracker_.take(report, clock_.now());
+    }
+    answer("v1", 8, {.mean_event_interval = 60ms, .load = 0.3});
+    answer("v2", 30, {.mean_event_interval = 27ms, .load = 0.01});
+    EXPECT_EQ(evaluate_rollout(), rollout_state::rolled_back);
+}
+
+TEST_F(rollout_tracker_test, fastest_interval_is_reported_while_a_rollout_runs)
+{
+    answer_normal_streams("v1", 100);
+    for (const auto scope : {report_scope::vm, report_scope::domain}) {
+        peer_report report;
+        report.scope = scope;
+        tracker_.fill(report, clock_.now());
+        ASSERT_EQ(report.paces.size(), 1U);
+        EXPECT_EQ(report.paces.front(), (reported_pace{"engine", 30ms}));
+    }
+    tracker_.note_published("engine", "v2", rollout_state::complete);
+    peer_report report;
+    tracker_.fill(report, clock_.now());
+    EXPECT_TRUE(report.paces.empty());
+}
+
 TEST_F(rollout_tracker_test, failing_version_is_halted)
 {
     answer("v1", 200, {});
--- a/src/proxy/service_rollout.cpp
+++ b/src/proxy/service_rollout.cpp
@@ -48,7 +48,7 @@
 
 bool service_rollout::all_traffic_shifted(time_point now) const
 {
-    return state_ == rollout_state::running && trial_passed_ &&
+    return state_ == rollout_state::running && trial_passed_ && (shifted_ || !in_doubt_) &&
            age(now) >= std::chrono::duration_cast<duration>(order_.period * settings_.shift_at);
 }
 
@@ -75,18 +75,18 @@
     return static_cast<double>(session_hash) / two_to_64 < settings.trial_share;
 }
 
-bool service_rollout::evaluate(const version_counts& candidate, const version_counts& baseline)
+evidence_verdict service_rollout::evaluate(const version_counts& candidate,
+                                           const version_counts& baseline)
 {
-    if (state_ != rollout_state::running) {
-        return false;
+    if (state_ != rollout_state::running || candidate.answers == 0) {
+        return {};
     }
-    const auto verdict =
-        evaluate_evidence(candidate, baseline, assumed_quality, settings_.evidence);
+    auto verdict = evaluate_evidence(candidate, baseline, assumed_quality, settings_.evidence);
     if (verdict.halt) {
         state_ = rollout_state::rolled_back;
         reason_ = verdict.reason;
     }
-    return verdict.halt;
+    return verdict;
 }
 
 rollout_state service_rollout::due(std::uint64_t candidate_answers, std::uint32_t old_in_flight,
@@ -99,6 +99,12 @@
     const auto at = [this](double part) {
         return std::chrono::duration_cast<duration>(order_.period * part);
     };
+    shifted_ = shifted_ || all_traffic_shifted(now);
+    if (!shifted_ && in_doubt_ && age(now) >= at(settings_.forced_complete_at)) {
+        state_ = rollout_state::rolled_back;
+        reason_ = "The trial left the version in doubt until the end of the roll-out.";
+        return state_;
+    }
     const bool drained = old_in_flight == 0 && age(now) >= at(settings_.complete_at);
     if (trial_passed_ && all_traffic_shifted(now) &&
         (drained || age(now) >= at(settings_.forced_complete_at))) {
--- a/src/proxy/service_rollout.hpp
+++ b/src/proxy/service_rollout.hpp
@@ -81,8 +81,12 @@
     [[nodiscard]] bool all_traffic_shifted(time_point now) const;
 
     /// Halts the roll-out when the evidence shows that the new version is bad. `candidate` and
-    /// `baseline` are counts of one group of requests, summed over all VMs. Returns true on a halt.
-    bool evaluate(const version_counts& candidate, const version_counts& baseline);
+    /// `baseline` are counts of one group of requests, summed over all VMs. Does nothing without
+    /// answers of the candidate or once the roll-out has ended.
+    evidence_verdict evaluate(const version_counts& candidate, const version_counts& baseline);
+    /// A version in doubt gets no more than the trial share. If the doubt lasts until the end of
+    /// the roll-out is forced, it is rolled back.
+    void set_in_doubt(bool in_doubt) { in_doubt_ = in_doubt; }
     /// Advances the roll-out if it is due, and returns the state to be published.
     [[nodiscard]] rollout_state due(std::uint64_t candidate_answers, std::uint32_t old_in_flight,
                                     time_point now);
@@ -97,6 +101,8 @@
     rollout_state state_{rollout_state::running};
     std::optional<rollout_state> published_;
     bool trial_passed_{false};
+    bool in_doubt_{false};
+    bool shifted_{false}; ///< all traffic has moved to the new version
     std::string reason_;
 };
 
--- a/src/proxy/service_rollout_test.cpp
+++ b/src/proxy/service_rollout_test.cpp
@@ -60,6 +60,39 @@
     EXPECT_EQ(due(3), rollout_state::complete);
 }
 
+TEST_F(service_rollout_test, version_in_doubt_gets_no_more_than_the_trial_share)
+{
+    rollout_.note_published(rollout_state::running);
+    rollout_.set_in_doubt(true);
+    clock_.advance(14s);
+    EXPECT_EQ(due(), rollout_state::running);
+    EXPECT_TRUE(uses_new_version(low_session_hash));
+    EXPECT_FALSE(uses_new_version(high_session_hash));
+    rollout_.set_in_doubt(false);
+    EXPECT_TRUE(uses_new_version(high_session_hash));
+}
+
+TEST_F(service_rollout_test, version_in_doubt_to_the_end_is_rolled_back)
+{
+    rollout_.note_published(rollout_state::running);
+    rollout_.set_in_doubt(true);
+    clock_.advance(17s);
+    EXPECT_EQ(due(), rollout_state::running);
+    clock_.advance(1s);
+    EXPECT_EQ(due(), rollout_state::rolled_back);
+}
+
+TEST_F(service_rollout_test, doubt_after_the_shift_does_not_take_it_back)
+{
+    rollout_.note_published(rollout_state::running);
+    clock_.advance(14s);
+    EXPECT_EQ(due(3), rollout_state::running);
+    rollout_.set_in_doubt(true);
+    EXPECT_TRUE(uses_new_version(high_session_hash));
+    clock_.advance(4s);
+    EXPECT_EQ(due(), rollout_state::complete);
+}
+
 TEST_F(service_rollout_test, version_without_answers_does_not_complete)
 {
     rollout_.note_published(rollout_state::running);
@@ -73,13 +106,14 @@
 TEST_F(service_rollout_test, version_that_is_slow_while_its_caches_fill_is_not_halted)
 {
     rollout_.note_published(rollout_state::running);
-    EXPECT_FALSE(rollout_.evaluate({.answers = 517, .slow = 60}, {.answers = 2000, .slow = 60}));
+    EXPECT_FALSE(
+        rollout_.evaluate({.answers = 517, .slow = 60}, {.answers = 2000, .slow = 60}).halt);
 }
 
 TEST_F(service_rollout_test, version_with_a_third_of_its_answers_slow_is_halted_within_50_answers)
 {
     rollout_.note_published(rollout_state::running);
-    EXPECT_TRUE(rollout_.evaluate({.answers = 50, .slow = 17}, {.answers = 2000, .slow = 60}));
+    EXPECT_TRUE(rollout_.evaluate({.answers = 50, .slow = 17}, {.answers = 2000, .slow = 60}).halt);
 }
 
 TEST_F(service_rollout_test, failing_version_is_halted_for_good)
@@ -87,7 +121,7 @@
     rollout_.note_published(rollout_state::running);
     const version_counts bad{.answers = 30, .errors = 15};
     const version_counts good{.answers = 500, .errors = 2};
-    EXPECT_TRUE(rollout_.evaluate(bad, good));
+    EXPECT_TRUE(rollout_.evaluate(bad, good).halt);
     EXPECT_FALSE(uses_new_version(low_session_hash));
     clock_.advance(18s);
     EXPECT_EQ(due(), rollout_state::rolled_back);
@@ -97,7 +131,7 @@
 {
     const version_counts candidate{.answers = 60, .errors = 9};
     const version_counts old{.answers = 600, .errors = 90};
-    EXPECT_FALSE(rollout_.evaluate(candidate, old));
+    EXPECT_FALSE(rollout_.evaluate(candidate, old).halt);
 }
 
 TEST_F(service_rollout_test, halt_of_another_vm_prevails_over_an_own_unpublished_completion)
--- a/src/rollout/evidence.cpp
+++ b/src/rollout/evidence.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr double signal_count = 4;
+constexpr std::size_t signal_count = 5;
 // Quantile of the one-sided 95 % confidence bound for the baseline's rate. bench/rollout_main.cpp
 // measures the remaining false alarms.
 constexpr double baseline_z = 1.645;
@@ -80,6 +80,8 @@
     errors += other.errors;
     slow += other.slow;
     dragged += other.dragged;
+    paced += other.paced;
+    sluggish += other.sluggish;
     ratings += other.ratings;
     insufficient += other.insufficient;
     return *this;
@@ -93,6 +95,8 @@
     latest.errors = std::max(latest.errors, counts.errors);
     latest.slow = std::max(latest.slow, counts.slow);
     latest.dragged = std::max(latest.dragged, counts.dragged);
+    latest.paced = std::max(latest.paced, counts.paced);
+    latest.sluggish = std::max(latest.sluggish, counts.sluggish);
     latest.insufficient =
         counts.ratings >= latest.ratings ? counts.insufficient : latest.insufficient;
     latest.ratings = std::max(latest.ratings, counts.ratings);
@@ -137,7 +141,7 @@
     const auto n = static_cast<double>(fresh.answers);
     const auto base = static_cast<double>(baseline.answers);
     const auto prior = settings.prior_ratings;
-    const std::array<signal, 4> all{
+    const std::array<signal, signal_count> all{
         signal{"insufficient", fresh.insufficient, static_cast<double>(fresh.ratings),
                upper_rate(baseline.insufficient + (1 - declared_quality) * prior,
                           static_cast<double>(baseline.ratings) + prior),
@@ -154,14 +158,27 @@
                upper_rate(static_cast<double>(baseline.dragged) + settings.prior_dragged * prior,
                           base + prior),
                settings.min_dragged_difference},
+        signal{"sluggish", static_cast<double>(fresh.sluggish), static_cast<double>(fresh.paced),
+               std::min(settings.max_assumed_sluggish,
+                        upper_rate(static_cast<double>(baseline.sluggish) +
+                                       settings.prior_sluggish * prior,
+                                   static_cast<double>(baseline.paced) + prior)),
+               settings.min_worse_difference},
     };
-    const double threshold = std::log(signal_count / settings.false_alarm_rate);
+    const double threshold =
+        std::log(static_cast<double>(signal_count) / settings.false_alarm_rate);
+    evidence_verdict verdict;
     for (const auto& s : all) {
-        if (log_likelihood_ratio(s, settings) >= threshold) {
-            return {true, describe(s)};
+        const double ratio = log_likelihood_ratio(s, settings);
+        if (ratio >= threshold) {
+            return {true, true, describe(s)};
+        }
+        if (ratio >= std::log(settings.doubt_ratio)) {
+            verdict.in_doubt = true;
+            verdict.reason = describe(s);
         }
     }
-    return {};
+    return verdict;
 }
 
 bool ratings_missing(const version_counts& fresh, const version_counts& baseline)
--- a/src/rollout/evidence.hpp
+++ b/src/rollout/evidence.hpp
@@ -25,6 +25,8 @@
     std::uint64_t ratings{0};
     double insufficient{0};   ///< sum of (1 - score) over the ratings
     std::uint64_t dragged{0}; ///< streams with longer intervals between events than usual
+    std::uint64_t paced{0}; ///< streams at lightly loaded replicas, compared with the fastest ones
+    std::uint64_t sluggish{0}; ///< of those, streams that did not come close to them
 
     version_counts& operator+=(const version_counts& other);
     friend bool operator==(const version_counts&, const version_counts&) = default;
@@ -74,11 +76,18 @@
     double prior_errors{0.01};
     double prior_slow{0.05};
     double prior_dragged{0.1};
+    double prior_sluggish{0.5};
+    /// Established replicas in trouble do not excuse a version whose own replicas have little load.
+    double max_assumed_sluggish{0.6};
+    /// The version is in doubt when the evidence is this many times as likely for a worse version
+    /// as for one like the baseline.
+    double doubt_ratio{3};
 };
 
 struct evidence_verdict {
     bool halt{false};
-    std::string reason; ///< full sentence with the counts, for operators
+    bool in_doubt{false}; ///< too early to halt, but not to be trusted with more traffic
+    std::string reason;   ///< full sentence with the counts, for operators
 };
 
 /// Runs a sequential probability ratio test of each signal against the baseline's rate. An upper
