Believe no refusal without an id on a reused connection

Seen here: a late refusal with the id of the earlier request promises nothing already (proxy_server_test.late_refusal_of_an_earlier_request_does_not_make_a_post_run_twice). One without any id was believed.

Change: on a connection that has served before, a refusal must have the request's id; otherwise the outcome is unknown. On a fresh connection nothing can have come before.

request_flow_test.refusal_without_an_id_on_a_reused_connection_promises_nothing covers both; it was written with the change.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -213,6 +213,7 @@
     bool timed_out_{false};
     bool withdrawn_{false};
     bool refused_{false};
+    bool reused_{false};
     bool ended_{false};
     bool header_reported_{false};
 };
@@ -250,6 +251,7 @@
     request_text_ = request_text(call_);
     connection_ = owner_->take_idle_connection(call_.address, call_.reuse_within);
     if (connection_) {
+        reused_ = true;
         write();
         return;
     }
@@ -443,6 +445,7 @@
     out.content_type = std::string{head[http::field::content_type]};
     out.request_id = std::string{head["X-Request-Id"]};
     out.retry_after = std::string{head[http::field::retry_after]};
+    out.on_reused_connection = reused_;
     for (const auto& field : head) {
         out.headers.emplace_back(field.name_string(), field.value());
     }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -56,9 +56,10 @@
 struct answer_head {
     unsigned status{0};
     std::string content_type;
-    std::string request_id;  ///< header X-Request-Id, empty when absent
-    std::string retry_after; ///< header Retry-After, empty when absent
-    header_list headers;     ///< all headers, in the order of arrival
+    std::string request_id;           ///< header X-Request-Id, empty when absent
+    std::string retry_after;          ///< header Retry-After, empty when absent
+    bool on_reused_connection{false}; ///< another exchange on the connection preceded this one
+    header_list headers;              ///< all headers, in the order of arrival
 };
 
 struct http_hooks {
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -217,7 +217,8 @@
 void proxied_exchange::on_head(detail::answer_head head)
 {
     const auto keep_alive = shared_from_this();
-    const response_head head_info = context_.dialect.read_head(head, flow_.request());
+    response_head head_info = context_.dialect.read_head(head, flow_.request());
+    head_info.on_reused_connection = head.on_reused_connection;
     last_confidence_ = head_info.confidence.value_or(-1);
     const bool begun = flow_.response_started();
     if (!begun) {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -165,7 +165,9 @@
 {
     head_seen_ = true;
     // A late copy of an earlier answer says nothing about this request, also if it is a refusal.
-    if (head.of_other_request) {
+    const bool may_be_late_refusal =
+        head.not_run && !head.request_id_matches && head.on_reused_connection;
+    if (head.of_other_request || may_be_late_refusal) {
         return on_failure({error_code::upstream_failed, run_state::outcome_unknown,
                            "The response belongs to another request."},
                           now);
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -61,6 +61,7 @@
     unsigned status{0};
     bool request_id_matches{true};    ///< the id in it is that of this request
     bool of_other_request{false};     ///< it has the id of another request
+    bool on_reused_connection{false}; ///< an answer to an earlier request may come late
     bool signed_response{false};      ///< has a valid signature of the replica
     bool not_run{false};              ///< the replica states that it did not run the request
     std::string answered_by;          ///< id of the responding replica; empty if not given
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -203,6 +203,20 @@
     EXPECT_FALSE(relays()) << "The caller already has part of another response.";
 }
 
+// A refusal without an id may be a late copy of an earlier one if the connection has served before.
+TEST_F(request_flow_test, refusal_without_an_id_on_a_reused_connection_promises_nothing)
+{
+    response_head head = refused;
+    head.request_id_matches = false;
+    start("/publish/1");
+    step_ = flow_->on_head(head, now());
+    EXPECT_EQ(status(), 503U) << "Nothing preceded it on this connection.";
+    head.on_reused_connection = true;
+    start("/publish/1");
+    step_ = flow_->on_head(head, now());
+    EXPECT_EQ(status(), 502U);
+}
+
 TEST_F(request_flow_test, answer_of_low_confidence_is_escalated_to_a_larger_model)
 {
     start("/report/1");
