Set replicas aside that leave, ask for quiet or refuse connections

Change: the mark of leaving, in any answer whose replica is certain, ends this run of the replica for this VM and is told to the others; no record, report or replay brings it back. 503 with Retry-After (fractions, capped, dates ignored) sets the replica aside for this VM; a refused connection does for 0.5 to 4 s. After that one request tests it. A request that finds all replicas set aside waits if the first is free within half of its time, otherwise it is refused at once with that time and a random part. What was placed is checked again before its first byte. A request that has reached no replica needs no retry budget. Retry-After of upstreams of the chat interface may have fractions, too.

--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -95,7 +95,8 @@
 {
     const time_point now = context_.clock();
     auto first = flow_.begin(now);
-    if (flow_.admitted()) {
+    if (flow_.admitted() && !has_deadline_) {
+        has_deadline_ = true;
         deadline_ =
             context_.deadlines.after(flow_.answer_deadline() - now, [self = weak_from_this()] {
                 if (const auto it = self.lock()) {
@@ -117,11 +118,12 @@
 
 void proxied_exchange::perform_step(const wait_step& step)
 {
+    cancel_call();
+    relay_mode_ = relay_mode::none;
+    buffered_body_.clear();
     if (!std::exchange(has_waited_, true)) {
         context_.counters.count("proxied_requests_waited_total").add();
-        context_.log.write(
-            "request_waits",
-            {{"id", flow_.request().id}, {"reason", context_.core.ready(context_.clock()).reason}});
+        context_.log.write("request_waits", {{"id", flow_.request().id}, {"reason", step.reason}});
     }
     pause_timer_ = context_.deadlines.after(step.pause, [self = weak_from_this()] {
         if (const auto it = self.lock()) {
@@ -228,6 +230,7 @@
         flow_.admitted()->route->kind == route_kind::stream && head_info.status == 200;
     const std::string replica = flow_.placed() ? flow_.placed()->upstream.value : std::string{};
     auto step = flow_.on_head(head_info, context_.clock());
+    log_set_aside(head_info, replica);
     if (std::holds_alternative<relay_step>(step)) {
         relay_mode_ = stream ? relay_mode::stream : relay_mode::whole;
         if (stream) {
@@ -517,6 +520,21 @@
                                           {"confidence", head.confidence.value_or(-1)}});
 }
 
+void proxied_exchange::log_set_aside(const response_head& head, const std::string& replica)
+{
+    if (head.quiet_unreadable) {
+        context_.log.write("quiet_ignored", {{"replica", replica}, {"id", flow_.request().id}});
+    }
+    const std::string reason = flow_.take_set_aside();
+    if (!reason.empty()) {
+        context_.log.write("replica_set_aside",
+                           {{"replica", replica},
+                            {"reason", reason},
+                            {"for_ms", to_milliseconds(head.quiet_for.value_or(duration{0}))},
+                            {"id", flow_.request().id}});
+    }
+}
+
 void proxied_exchange::log_finished(unsigned status, std::string_view outcome,
                                     std::string_view detail)
 {
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -82,6 +82,7 @@
     void end();
     void log_answer_dropped(const response_head& head, const std::string& replica);
     void log_attempt_failed(const attempt_failure& failure);
+    void log_set_aside(const response_head& head, const std::string& replica);
     void log_finished(unsigned status, std::string_view outcome, std::string_view detail);
     [[nodiscard]] detail::http_call make_call(const send_step& step) const;
 
@@ -103,7 +104,8 @@
     std::string buffered_body_;
     event_splitter events_;
     std::optional<time_point> first_byte_at_;
-    bool has_waited_{false}; ///< for the initial reads of a VM that has just started
+    bool has_deadline_{false};
+    bool has_waited_{false}; ///< before the first attempt
     bool ended_{false};
     // Of the last attempt, for the request_finished log line.
     std::string last_replica_;
--- a/src/net/proxy/proxy_server_test.cpp
+++ b/src/net/proxy/proxy_server_test.cpp
@@ -48,6 +48,10 @@
                 name == "X-Id" ? value == request.id : parsed_head.request_id_matches;
             parsed_head.of_other_request = !parsed_head.request_id_matches;
             parsed_head.not_run = parsed_head.not_run || name == "X-Not-Run";
+            parsed_head.replica_leaving = parsed_head.replica_leaving || name == "X-Leaving";
+            if (name == "X-Quiet-Ms") {
+                parsed_head.quiet_for = std::chrono::milliseconds{std::stoi(value)};
+            }
         }
         return parsed_head;
     };
@@ -363,6 +367,73 @@
     EXPECT_EQ(requests_received(), 2U) << "The request may have run and must not be sent again.";
 }
 
+/// An answer whose head sets its replica aside.
+struct setting_aside {
+    const char* name;
+    std::string answer;
+    const char* reason;
+};
+
+class set_aside_test : public proxy_server_test,
+                       public testing::WithParamInterface<setting_aside> {};
+
+TEST_P(set_aside_test, replica_gets_no_further_request)
+{
+    get();
+    const auto aside = wait_for_request(1);
+    aside->write(GetParam().answer);
+    for (std::size_t n = 2; n <= 6; ++n) {
+        if (n > 2 || GetParam().answer.starts_with("HTTP/1.1 200")) {
+            get();
+        }
+        const auto other = wait_for_request(n);
+        ASSERT_NE(other, nullptr);
+        ASSERT_NE(other, aside);
+        other->write(small_answer);
+        const std::size_t answers = n - (GetParam().answer.starts_with("HTTP/1.1 200") ? 0 : 1);
+        ASSERT_TRUE(pump_until([&] { return count_of(caller_->received, "200 OK") == answers; }));
+    }
+    EXPECT_EQ(count_of(aside->received, " HTTP/1.1\r\n"), 1U);
+    log_.flush();
+    EXPECT_EQ(count_of(log_output_, "replica_set_aside"), 1U) << log_output_;
+    EXPECT_NE(log_output_.find(GetParam().reason), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    kinds, set_aside_test,
+    testing::Values(
+        setting_aside{"leaving",
+                      "HTTP/1.1 200 OK\r\nX-Id: 1\r\nX-Leaving: 1\r\nContent-Length: 2\r\n\r\nok",
+                      "\"leaving\""},
+        setting_aside{"quiet",
+                      "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nX-Not-Run: 1\r\n"
+                      "X-Quiet-Ms: 60000\r\nContent-Length: 0\r\n\r\n",
+                      "\"asked_for_quiet\""}),
+    [](const auto& it) { return std::string{it.param.name}; });
+
+// Guards against ending the caller's answer with the end of one that was dropped, while the request
+// waits for another replica.
+TEST_F(proxy_server_test, end_of_a_dropped_answer_does_not_end_a_request_that_waits)
+{
+    const std::string quiet = "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nX-Not-Run: 1\r\n"
+                              "X-Quiet-Ms: 300\r\nContent-Length: 0\r\n\r\n";
+    get();
+    const auto dropped = wait_for_request(1);
+    const auto other = connect_to(io_, server_.address());
+    other->write("GET /read/y HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n");
+    wait_for_request(2)->write(quiet);
+    wait_for_request(3)->write(quiet);
+    ASSERT_TRUE(pump_until([&] { return !other->received.empty(); }));
+    other->close();
+    dropped->write("HTTP/1.1 500 Internal Server Error\r\nX-Id: 1\r\nContent-Length: 3\r\n\r\nbad");
+    const auto next = wait_for_request(4);
+    ASSERT_NE(next, nullptr);
+    EXPECT_EQ(caller_->received, "");
+    next->write(small_answer);
+    ASSERT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+    EXPECT_EQ(caller_->received.find("bad"), std::string::npos);
+}
+
 /// Bytes that follow the request without end, until the connection is closed.
 struct endless_answer {
     const char* name;
--- a/src/net/upstream_attempt.cpp
+++ b/src/net/upstream_attempt.cpp
@@ -1,6 +1,7 @@
 #include "net/upstream_attempt.hpp"
 
 #include "net/json_guard.hpp"
+#include "net/retry_after.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -16,18 +17,8 @@
 constexpr std::string_view end_of_stream = "[DONE]";
 /// Bytes of a refusal's body that are kept for the error detail.
 constexpr std::size_t refusal_detail_limit = 512;
-/// Longest Retry-After accepted from an upstream, in seconds.
-constexpr std::uint64_t retry_after_limit = 3600;
-
-std::optional<duration> parse_retry_after(const std::string& text)
-{
-    std::uint64_t seconds = 0;
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), seconds);
-    if (failure != std::errc{} || end != text.data() + text.size() || seconds > retry_after_limit) {
-        return std::nullopt;
-    }
-    return std::chrono::seconds{seconds};
-}
+/// Longest Retry-After accepted from an upstream.
+constexpr std::chrono::seconds retry_after_limit{3600};
 
 /// Reads the retry delay that engines put into the body of a refusal.
 std::optional<duration> retry_after_in(const std::string& body)
@@ -38,7 +29,8 @@
         return std::nullopt;
     }
     const auto wait = refusal["retry_after_ms"].get<std::uint64_t>();
-    return std::chrono::milliseconds{std::min(wait, retry_after_limit * 1000)};
+    const std::chrono::milliseconds limit{retry_after_limit};
+    return std::chrono::milliseconds{std::min(wait, static_cast<std::uint64_t>(limit.count()))};
 }
 
 bool has_index(const json& event)
@@ -317,7 +309,7 @@
                  message_.upstream.value,
                  run,
                  std::move(detail),
-                 parse_retry_after(head_.retry_after)};
+                 parse_retry_after(head_.retry_after, retry_after_limit)};
     if (!began && !reason.retry_after) {
         reason.retry_after = retry_after_in(body_);
     }
--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -97,6 +97,15 @@
     return out;
 }
 
+json encode_leaving(const std::vector<reported_leaving>& replicas)
+{
+    json out = json::array();
+    for (const auto& item : replicas) {
+        out.push_back({item.upstream.value, item.started_ms});
+    }
+    return out;
+}
+
 json encode_paces(const std::vector<reported_pace>& paces)
 {
     json out = json::array();
@@ -263,6 +272,21 @@
     return true;
 }
 
+bool decode_leaving(const json& array, std::vector<reported_leaving>& out)
+{
+    for (const auto& item : array) {
+        field_reader in{item};
+        reported_leaving replica;
+        replica.upstream = upstream_id{in.text()};
+        replica.started_ms = in.number();
+        if (!in.complete()) {
+            return false;
+        }
+        out.push_back(std::move(replica));
+    }
+    return true;
+}
+
 bool decode_paces(const json& array, std::vector<reported_pace>& out)
 {
     for (const auto& item : array) {
@@ -305,7 +329,8 @@
                                        encode_calibration(report.calibration),
                                        encode_part_evidence(report.part_evidence),
                                        encode_quarantined(report.quarantined),
-                                       encode_paces(report.paces)}));
+                                       encode_paces(report.paces),
+                                       encode_leaving(report.leaving_replicas)}));
 }
 
 expected<peer_report> decode_peer_report(std::string_view data)
@@ -342,7 +367,8 @@
                                (value->size() <= part_evidence_index ||
                                 (decode_part_evidence(in.array(), report.part_evidence) &&
                                  decode_quarantined(in.array(), report.quarantined) &&
-                                 decode_paces(in.array(), report.paces)));
+                                 decode_paces(in.array(), report.paces) &&
+                                 decode_leaving(in.array(), report.leaving_replicas)));
     if (!known || !scope || !lists_decoded || !in.complete()) {
         return tl::unexpected(malformed(step::peer, report_name));
     }
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -66,6 +66,14 @@
     friend bool operator==(const reported_pace&, const reported_pace&) = default;
 };
 
+/// A run of a replica that has said in an answer that it is about to stop.
+struct reported_leaving {
+    upstream_id upstream;
+    std::uint64_t started_ms{0};
+
+    friend bool operator==(const reported_leaving&, const reported_leaving&) = default;
+};
+
 /// Acknowledges the newest report that the sender has accepted from another VM. It tells that VM
 /// that the acknowledging report was made after the acknowledged one.
 struct received_report {
@@ -118,6 +126,7 @@
     std::vector<wagtailhitch::part_evidence> part_evidence;
     std::vector<quarantined_part> quarantined;
     std::vector<reported_pace> paces;
+    std::vector<reported_leaving> leaving_replicas;
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -36,6 +36,7 @@
     out.calibration = {calibration};
     out.part_evidence = {{0xfedcba9876543212ULL, 2, 1.25, {0xfedcba9876543213ULL, 7}}};
     out.paces = {{"engine", 18250us}};
+    out.leaving_replicas = {{upstream_id{"r2"}, 1789077001018}};
     out.quarantined = {{0xfedcba9876543214ULL, 300s, 2}, {5, -20s, 1}};
     return out;
 }
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -181,12 +181,67 @@
                    hold->remaining);
 }
 
+bool proxy_core::note_replica_leaving(const placement& placed, time_point now)
+{
+    if (!directory_.mark_leaving(placed.upstream, placed.replica_started_ms, now)) {
+        return false;
+    }
+    counters_.count("replicas_set_aside_total", {{"reason", "leaving"}}).add();
+    if (directory_.tick(now)) {
+        refresh_pool(now);
+    }
+    return true;
+}
+
+bool proxy_core::note_quiet(const placement& placed, duration quiet, time_point now)
+{
+    const auto replica = pool_.find(placed.upstream);
+    if (!replica || !pool_.hold_for_quiet(*replica, quiet, now)) {
+        return false;
+    }
+    counters_.count("replicas_set_aside_total", {{"reason", "asked_for_quiet"}}).add();
+    return true;
+}
+
+bool proxy_core::may_use(const placement& placed, time_point now) const
+{
+    const auto* entry = directory_.find(placed.upstream);
+    return entry != nullptr && entry->presence != replica_presence::leaving &&
+           entry->announcement.started_ms == placed.replica_started_ms &&
+           pool_.may_send(placed.ticket, now);
+}
+
+std::optional<duration> proxy_core::until_released(const admission& admitted,
+                                                   const send_history& history,
+                                                   time_point now) const
+{
+    std::optional<duration> first;
+    for (const auto& [id, entry] : directory_.entries()) {
+        const auto replica = pool_.find(id);
+        if (!replica || entry.announcement.service != admitted.service ||
+            entry.presence == replica_presence::leaving ||
+            std::ranges::find(history.tried, *replica) != history.tried.end()) {
+            continue;
+        }
+        const auto wait = pool_.until_released(*replica, now);
+        if (wait && (!first || *wait < *first)) {
+            first = wait;
+        }
+    }
+    return first;
+}
+
+duration proxy_core::spread(duration wait)
+{
+    std::uniform_int_distribution<duration::rep> extra{0, (wait / 2).count()};
+    return wait + duration{extra(generator_)};
+}
+
 void proxy_core::note_parts(std::span<const part_key> parts, const placement& placed,
                             part_outcome outcome, time_point now)
 {
-    const auto* replica = directory_.find(placed.upstream);
-    const std::uint64_t started = replica == nullptr ? 0 : replica->announcement.started_ms;
-    const replica_run run = combine_hashes(started, hash64(placed.upstream.value));
+    const replica_run run =
+        combine_hashes(placed.replica_started_ms, hash64(placed.upstream.value));
     switch (outcome) {
     case part_outcome::survived:
         quarantine_.note_survived(parts, now);
@@ -422,7 +477,9 @@
     out.ticket = pool_.begin(chosen->replica, now);
     out.upstream = view.id;
     out.address = view.spec.address;
-    out.software = directory_.find(view.id)->announcement.software;
+    const replica_announcement& replica = directory_.find(view.id)->announcement;
+    out.software = replica.software;
+    out.replica_started_ms = replica.started_ms;
     out.version = software_version_id(admitted.service, out.software);
     out.distance = chosen->distance;
     out.model = model;
@@ -456,6 +513,7 @@
 
 void proxy_core::note_first_token(const placement& placed, duration first_token, time_point now)
 {
+    pool_.note_answered(placed.ticket);
     if (!placed.waits) {
         const duration on_network = chooser_.round_trip_to(placed.distance);
         calibration_.observe(placed.engine, placed.inputs, first_token - on_network, now);
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -87,6 +87,7 @@
 struct placement {
     dispatch_ticket ticket;
     upstream_id upstream;
+    std::uint64_t replica_started_ms{0}; ///< identifies the replica's run
     std::string address;
     std::string software;
     version_id version; ///< software_version_id() of the service
@@ -136,6 +137,8 @@
     /// Time between two reports of what was learned about the engines.
     duration calibration_interval{1s};
     quarantine_settings quarantine{};
+    /// Time for which reports tell that a replica is leaving.
+    duration leaving_report_time{10s};
     retry_settings retry{};
     domain_bill_settings bills{};
     double prefill_cost{0}; ///< money units per 1000 prompt tokens
@@ -182,6 +185,7 @@
     [[nodiscard]] duration until_retry(unsigned failures, time_point now) const;
     void set_configuration_age_limits(duration key_validity, duration definitive_refusal_age);
     replica_directory& replicas() { return directory_; }
+    [[nodiscard]] const replica_directory& replicas() const { return directory_; }
     rollout_tracker& rollouts() { return rollouts_; }
     /// Removes a replica at whose address another one answered, until it starts again.
     void note_address_reused(const upstream_id& id, time_point now);
@@ -218,6 +222,19 @@
     void note_parts(std::span<const part_key> parts, const placement& placed, part_outcome outcome,
                     time_point now);
     prompt_quarantine& quarantine() { return quarantine_; }
+    /// The replica says in an answer that it is about to stop: this VM sends it nothing more, and
+    /// the other VMs hear of it. Returns false if this was known.
+    bool note_replica_leaving(const placement& placed, time_point now);
+    /// The replica asks this VM for no requests. Returns false if it was set aside for as long.
+    bool note_quiet(const placement& placed, duration quiet, time_point now);
+    /// Whether a placed request may still be written to its replica.
+    [[nodiscard]] bool may_use(const placement& placed, time_point now) const;
+    /// Time until the first replica that a request may use is no longer set aside; nothing if none
+    /// is set aside.
+    [[nodiscard]] std::optional<duration>
+    until_released(const admission& admitted, const send_history& history, time_point now) const;
+    /// Adds up to half of the wait, so that callers do not all return at once.
+    [[nodiscard]] duration spread(duration wait);
     /// Chooses a replica for the request and counts the attempt in its load until finish(). Errors,
     /// all not_run: no_upstream, queue_full.
     expected<placement> place(const admission& admitted, const proxied_request& request,
@@ -308,6 +325,7 @@
                                                 const proxied_request& request, std::size_t model,
                                                 time_point now);
     void publish_calibration(time_point now);
+    void take_leaving(const peer_report& report, time_point now);
     void take_quarantine(const peer_report& report, time_point now);
     /// Adds the evidence on prompt parts, and the quarantines, to a report.
     void fill_quarantine(peer_report& report, time_point now) const;
--- a/src/proxy/proxy_core_state.cpp
+++ b/src/proxy/proxy_core_state.cpp
@@ -118,6 +118,7 @@
                           report.calibration, now);
     }
     take_quarantine(report, now);
+    take_leaving(report, now);
     const auto source = member ? session_source::member : session_source::other_domain;
     for (const auto& item : report.sessions) {
         sessions_.remember(item.session, item.software, now - item.age, source);
@@ -135,6 +136,16 @@
     }
 }
 
+void proxy_core::take_leaving(const peer_report& report, time_point now)
+{
+    for (const auto& item : report.leaving_replicas) {
+        directory_.mark_leaving(item.upstream, item.started_ms, now);
+    }
+    if (directory_.tick(now)) {
+        refresh_pool(now);
+    }
+}
+
 void proxy_core::fill_quarantine(peer_report& report, time_point now) const
 {
     std::vector<std::string> members;
@@ -196,6 +207,11 @@
     report.sessions = sessions_.exposed(
         settings_.rollout, digest ? session_source::member : session_source::self, now);
     fill_quarantine(report, now);
+    for (const auto& [id, run] : directory_.leaving_runs()) {
+        if (now - run.marked_at <= settings_.leaving_report_time) {
+            report.leaving_replicas.push_back({id, run.started_ms});
+        }
+    }
     time_point& next = next_calibration_report_[static_cast<std::size_t>(scope)];
     if (now >= next) {
         next = now + settings_.calibration_interval;
--- a/src/proxy/replica_directory.cpp
+++ b/src/proxy/replica_directory.cpp
@@ -24,9 +24,13 @@
 {
 }
 
-announcement_effect replica_directory::announce(const replica_announcement& announcement,
-                                                time_point now)
+announcement_effect replica_directory::announce(const replica_announcement& record, time_point now)
 {
+    replica_announcement announcement = record;
+    const auto marked = leaving_runs_.find(record.id);
+    if (marked != leaving_runs_.end() && record.started_ms <= marked->second.started_ms) {
+        announcement.leaving = true;
+    }
     first_seen_.try_emplace(software_version_id(announcement.service, announcement.software), now);
     const auto [it, added] = entries_.try_emplace(announcement.id);
     entry& known = it->second;
@@ -93,6 +97,23 @@
     return true;
 }
 
+bool replica_directory::mark_leaving(const upstream_id& id, std::uint64_t started_ms,
+                                     time_point now)
+{
+    const auto known = leaving_runs_.find(id);
+    if (known != leaving_runs_.end() && known->second.started_ms >= started_ms) {
+        return false;
+    }
+    leaving_runs_[id] = {started_ms, now};
+    const auto it = entries_.find(id);
+    if (it != entries_.end() && it->second.announcement.started_ms <= started_ms &&
+        it->second.presence != replica_presence::leaving) {
+        it->second.presence = replica_presence::leaving;
+        changed_ = true;
+    }
+    return true;
+}
+
 void replica_directory::retire(const upstream_id& id)
 {
     const auto it = entries_.find(id);
@@ -124,6 +145,9 @@
 
 bool replica_directory::tick(time_point now)
 {
+    std::erase_if(leaving_runs_, [&](const auto& item) {
+        return now - item.second.marked_at > settings_.leaving_memory;
+    });
     const auto n = std::erase_if(entries_, [now](const auto& item) {
         return item.second.presence == replica_presence::withdrawn && now >= item.second.expires_at;
     });
--- a/src/proxy/replica_directory.hpp
+++ b/src/proxy/replica_directory.hpp
@@ -65,6 +65,8 @@
     /// The same time when many records disappear at once. That indicates an outage of the store,
     /// after which live replicas register again within about two seconds.
     duration store_outage_grace{2200ms};
+    /// Time for which a run that was marked as leaving is remembered, also without its record.
+    duration leaving_memory{600s};
     double store_outage_share{
         0.5}; ///< share of replicas withdrawn at once that indicates an outage
 };
@@ -85,11 +87,23 @@
 
     replica_directory(directory_settings settings, std::map<failure_domain_id, region_id> regions);
 
-    announcement_effect announce(const replica_announcement& announcement, time_point now);
+    announcement_effect announce(const replica_announcement& record, time_point now);
     /// Handles the removal of the replica's record. Returns true when the replica was in use.
     bool withdraw(const upstream_id& id, time_point now);
     /// Marks the replica's current run as ended. Later records of that run are ignored.
     void retire(const upstream_id& id);
+    /// Marks a run of a replica as leaving, as the replica itself says. No record of that run makes
+    /// it usable again. Returns false if this was known.
+    bool mark_leaving(const upstream_id& id, std::uint64_t started_ms, time_point now);
+    /// Runs that were marked as leaving within the last minutes.
+    struct leaving_run {
+        std::uint64_t started_ms{0};
+        time_point marked_at{};
+    };
+    [[nodiscard]] const std::map<upstream_id, leaving_run>& leaving_runs() const
+    {
+        return leaving_runs_;
+    }
     /// Applies the newest records of all replicas and withdraws known replicas that have none.
     /// Returns the number of the latter.
     std::size_t replace_all(const std::vector<replica_announcement>& announcements, time_point now);
@@ -114,6 +128,7 @@
     directory_settings settings_;
     std::map<failure_domain_id, region_id> regions_;
     std::map<upstream_id, entry> entries_;
+    std::map<upstream_id, leaving_run> leaving_runs_;
     std::map<version_id, time_point> first_seen_;
     time_point burst_started_at_{}; ///< start of the current burst of withdrawals
     std::size_t burst_withdrawals_{0};
--- a/src/proxy/replica_directory_test.cpp
+++ b/src/proxy/replica_directory_test.cpp
@@ -130,5 +130,37 @@
     EXPECT_EQ(directory_.find(upstream_id{"a"}), nullptr);
 }
 
+TEST_F(replica_directory_test, replica_that_says_it_is_leaving_is_not_brought_back_by_old_records)
+{
+    announce(announcement("r1"));
+    ASSERT_TRUE(directory_.mark_leaving(upstream_id{"r1"}, 100, clock_.now()));
+    EXPECT_FALSE(directory_.mark_leaving(upstream_id{"r1"}, 100, clock_.now()));
+    EXPECT_FALSE(usable("r1"));
+    announce(announcement("r1", 100, 9));
+    EXPECT_FALSE(usable("r1"));
+    directory_.withdraw(upstream_id{"r1"}, clock_.now());
+    announce(announcement("r1", 100, 10));
+    EXPECT_FALSE(usable("r1")) << "A replay after the record was removed.";
+    directory_.replace_all({announcement("r1", 100, 11)}, clock_.now());
+    EXPECT_FALSE(usable("r1"));
+    announce(announcement("r1", 101));
+    EXPECT_TRUE(usable("r1")) << "A new run.";
+}
+
+TEST_F(replica_directory_test, new_holder_of_the_address_of_a_leaving_replica_is_usable)
+{
+    announce(announcement("r1"));
+    directory_.mark_leaving(upstream_id{"r1"}, 100, clock_.now());
+    announce(announcement("r2"));
+    EXPECT_TRUE(usable("r2"));
+}
+
+TEST_F(replica_directory_test, mark_of_an_earlier_run_does_not_apply_to_a_later_one)
+{
+    announce(announcement("r1", 200));
+    directory_.mark_leaving(upstream_id{"r1"}, 100, clock_.now());
+    EXPECT_TRUE(usable("r1"));
+}
+
 } // namespace
 } // namespace wagtailhitch
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -23,6 +23,9 @@
 constexpr duration min_stall_timeout = 2s;
 /// Delay after which a decision to send is made again. Longer than the time to open a connection.
 constexpr duration longest_send_delay = 1s;
+/// A request waits for a replica that is set aside for at most this part of the time it has left:
+/// 1 / held_wait_divisor. The rest is needed for the answer.
+constexpr int held_wait_divisor = 2;
 /// Interval of the checks whether a starting VM can serve. Short compared with the latency targets.
 constexpr duration startup_poll_interval = 20ms;
 /// An answer whose first event takes longer than this share of the latency target counts as slow in
@@ -79,13 +82,16 @@
 
 flow_step request_flow::begin(time_point now)
 {
+    if (admitted_) {
+        return place(duration{0}, now);
+    }
     const time_point deadline =
         request_.deadline ? request_.received_at + *request_.deadline : time_point::max();
     if (now >= deadline) {
         return expired_request_step();
     }
     if (core_.starting(now)) {
-        return wait_step{std::min(startup_poll_interval, deadline - now)};
+        return wait_step{std::min(startup_poll_interval, deadline - now), core_.ready(now).reason};
     }
     auto admitted = core_.admit(request_, now);
     if (!admitted) {
@@ -111,6 +117,12 @@
     auto placed = core_.place(*admitted_, request_, history_, now);
     if (!placed) {
         error reason = placed.error();
+        if (const auto held = core_.until_released(*admitted_, history_, now)) {
+            if (*held < (admitted_->answer_deadline - now) / held_wait_divisor) {
+                return wait_step{*held, reason.detail};
+            }
+            reason.retry_after = core_.spread(*held);
+        }
         if (!reason.retry_after) {
             reason.retry_after = refused_retry_after;
         }
@@ -172,6 +184,7 @@
                            "The response belongs to another request."},
                           now);
     }
+    note_replica_signals(head, now);
     if (!head.answered_by.empty() && placed_ && head.answered_by != placed_->upstream.value &&
         !head.signed_response) {
         core_.note_address_reused(placed_->upstream, now);
@@ -211,6 +224,24 @@
     return on_failure(failure, now);
 }
 
+// An answer without the id of this request, or of another replica, may be from an earlier holder of
+// the address.
+void request_flow::note_replica_signals(const response_head& head, time_point now)
+{
+    const bool certain = placed_ && head.request_id_matches &&
+                         !(request_.id.empty() && head.on_reused_connection) &&
+                         (head.answered_by.empty() || head.answered_by == placed_->upstream.value);
+    if (!certain) {
+        return;
+    }
+    if (head.replica_leaving && core_.note_replica_leaving(*placed_, now)) {
+        set_aside_ = "leaving";
+    }
+    if (head.quiet_for && core_.note_quiet(*placed_, *head.quiet_for, now)) {
+        set_aside_ = "asked_for_quiet";
+    }
+}
+
 flow_step request_flow::accept_or_escalate(const response_head& head, time_point now)
 {
     if (response_started_ || !head.confidence) {
@@ -294,7 +325,7 @@
     }
 }
 
-void request_flow::end_attempt(attempt_result result, time_point now)
+void request_flow::end_attempt(attempt_result result, time_point now, bool connection_refused)
 {
     if (!placed_) {
         return;
@@ -311,6 +342,7 @@
     outcome.first_token = head_at_.value_or(now) - sent_at_;
     outcome.total = now - sent_at_;
     outcome.predicted = result == attempt_result::succeeded ? placed_->predicted : duration{0};
+    outcome.connection_refused = connection_refused;
     core_.finish(*placed_, outcome, now);
     placed_.reset();
 }
@@ -334,7 +366,8 @@
     else if (failure.connection_lost && !past_beginning()) {
         note_parts(part_outcome::lost, now);
     }
-    end_attempt(failure.withdrawn ? attempt_result::cancelled : attempt_result::failed, now);
+    end_attempt(failure.withdrawn ? attempt_result::cancelled : attempt_result::failed, now,
+                failure.connection_refused);
     return retry(failure, now);
 }
 
@@ -359,6 +392,7 @@
     attempt.run = failure.run;
     attempt.idempotent = route.repeatable();
     attempt.tokens_sent = response_started_;
+    attempt.unsent = deliveries_ == 0;
     attempt.retries = retries_++;
     attempt.deadline = admitted_->answer_deadline;
     const retry_decision decision = core_.decide_retry(*admitted_, attempt, now);
@@ -383,7 +417,8 @@
 bool request_flow::may_send(time_point now) const
 {
     return now - sent_at_ <= longest_send_delay && !core_.check_permission(*admitted_, now) &&
-           (tests_quarantine_ || !core_.check_parts(request_, parts_, now));
+           (tests_quarantine_ || !core_.check_parts(request_, parts_, now)) && placed_ &&
+           core_.may_use(*placed_, now);
 }
 
 duration request_flow::stall_timeout() const
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 
 // State machine of one proxied request. Each event returns the next step.
@@ -33,10 +34,11 @@
     bool fresh_connection{false};
 };
 
-/// The VM has just started and has not read the configuration and replicas yet: call begin() again
-/// after `pause`.
+/// The request cannot be sent yet: call begin() again after `pause`. The VM has just started and
+/// has not read the configuration and replicas, or all replicas are set aside for a short time.
 struct wait_step {
     duration pause{};
+    std::string reason;
 };
 
 /// Pass the response of the current attempt to the caller.
@@ -59,13 +61,16 @@
 /// The parts of a replica's response head that request_flow decides by.
 struct response_head {
     unsigned status{0};
-    bool request_id_matches{true};    ///< the id in it is that of this request
-    bool of_other_request{false};     ///< it has the id of another request
-    bool on_reused_connection{false}; ///< an answer to an earlier request may come late
-    bool signed_response{false};      ///< has a valid signature of the replica
-    bool not_run{false};              ///< the replica states that it did not run the request
-    std::string answered_by;          ///< id of the responding replica; empty if not given
-    std::optional<double> confidence; ///< of the model in its answer, 0 to 1
+    bool request_id_matches{true};     ///< the id in it is that of this request
+    bool of_other_request{false};      ///< it has the id of another request
+    bool on_reused_connection{false};  ///< an answer to an earlier request may come late
+    bool signed_response{false};       ///< has a valid signature of the replica
+    bool not_run{false};               ///< the replica states that it did not run the request
+    std::string answered_by;           ///< id of the responding replica; empty if not given
+    std::optional<double> confidence;  ///< of the model in its answer, 0 to 1
+    bool replica_leaving{false};       ///< the replica says that it is about to stop
+    bool quiet_unreadable{false};      ///< it asks for quiet in a form that cannot be read
+    std::optional<duration> quiet_for; ///< time for which it asks this VM for no requests
 };
 
 struct attempt_failure {
@@ -114,6 +119,9 @@
     /// that is not possible; then the replica may still go on.
     std::optional<flow_step> on_stall(time_point now);
 
+    /// Why the current attempt's answer has set its replica aside; empty if it has not. Reset by
+    /// the call.
+    [[nodiscard]] std::string take_set_aside() { return std::exchange(set_aside_, {}); }
     [[nodiscard]] const proxied_request& request() const { return request_; }
     [[nodiscard]] const std::optional<admission>& admitted() const { return admitted_; }
     [[nodiscard]] const std::optional<placement>& placed() const { return placed_; }
@@ -128,13 +136,15 @@
 private:
     flow_step place(duration pause, time_point now);
     flow_step give_up(const error& reason, time_point now);
+    /// Applies what the answer's head says about the replica itself.
+    void note_replica_signals(const response_head& head, time_point now);
     flow_step retry(const attempt_failure& failure, time_point now);
     flow_step accept_or_escalate(const response_head& head, time_point now);
     flow_step on_replica_refusal(const attempt_failure& failure, time_point now);
     [[nodiscard]] bool slow(time_point now) const;
     /// Mean time between two events of the current attempt; nothing if it had fewer than two.
     [[nodiscard]] std::optional<duration> mean_event_interval() const;
-    void end_attempt(attempt_result result, time_point now);
+    void end_attempt(attempt_result result, time_point now, bool connection_refused = false);
     void bill_request(bill_outcome outcome, time_point now);
     [[nodiscard]] duration head_timeout() const;
     /// Whether the current attempt has passed on more than the beginning of an answer.
@@ -156,6 +166,7 @@
     std::optional<time_point> first_event_at_; ///< of the current attempt
     time_point last_event_at_;                 ///< of the current attempt
     std::optional<std::uint64_t> last_event_id_;
+    std::string set_aside_;
     bool tests_quarantine_{false}; ///< the current attempt tests a part whose quarantine is over
     bool response_started_{false}; ///< the caller has received events
     bool head_seen_{false};        ///< in the current attempt
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -506,5 +506,139 @@
     }
 }
 
+class replica_signals_test : public request_flow_test {
+protected:
+    static response_head leaving(response_head head)
+    {
+        head.replica_leaving = true;
+        return head;
+    }
+    static response_head quiet(duration time)
+    {
+        response_head head = refused;
+        head.quiet_for = time;
+        return head;
+    }
+    [[nodiscard]] bool usable(const std::string& id) const
+    {
+        return deployment_.core.replicas().upstreams().contains(upstream_id{id});
+    }
+    /// Sends requests until each replica of the application has asked for quiet.
+    void set_all_aside(duration time)
+    {
+        for (int i = 0; i < 9; ++i) {
+            start("/read/" + std::to_string(i));
+            while (sends()) {
+                step_ = flow_->on_head(quiet(time), now());
+            }
+        }
+    }
+};
+
+TEST_F(replica_signals_test, replica_that_leaves_is_marked_by_any_answer)
+{
+    for (const response_head& head : {answered, failed, refused}) {
+        start("/publish/1");
+        ASSERT_TRUE(sends()) << head.status;
+        const std::string marked = replica();
+        step_ = flow_->on_head(leaving(head), now());
+        EXPECT_EQ(flow_->take_set_aside(), "leaving");
+        EXPECT_FALSE(usable(marked)) << head.status;
+    }
+    deployment_.clock.advance(1s);
+    start("/publish/1");
+    EXPECT_FALSE(sends()) << "Not even as a last resort.";
+    EXPECT_EQ(status(), 503U);
+}
+
+TEST_F(replica_signals_test, answer_whose_replica_is_not_certain_marks_nobody)
+{
+    response_head without_id = refused;
+    without_id.request_id_matches = false;
+    for (const response_head& head : {head_of_another_request(), misdirected, without_id}) {
+        start("/read/1");
+        const std::string kept = replica();
+        step_ = flow_->on_head(leaving(head), now());
+        EXPECT_EQ(flow_->take_set_aside(), "");
+        EXPECT_FALSE(deployment_.core.replicas().leaving_runs().contains(upstream_id{kept}));
+    }
+}
+
+TEST_F(replica_signals_test, request_that_had_chosen_a_replica_that_leaves_is_not_written)
+{
+    start("/read/1");
+    const std::string chosen = replica();
+    request_flow other{deployment_.core, deployment_.request("/read/2")};
+    flow_step next = other.begin(now());
+    while (std::get<send_step>(next).placed.upstream.value != chosen) {
+        next = other.on_head(refused, now());
+        ASSERT_TRUE(std::holds_alternative<send_step>(next));
+    }
+    EXPECT_TRUE(flow_->may_send(now()));
+    (void)other.on_head(leaving(answered), now());
+    EXPECT_FALSE(flow_->may_send(now()));
+}
+
+TEST_F(replica_signals_test, other_vms_hear_that_a_replica_leaves)
+{
+    proxy_deployment other{"vm-2"};
+    start("/read/1");
+    const std::string marked = replica();
+    step_ = flow_->on_head(leaving(answered), now());
+    other.core.take_report(deployment_.core.make_report(report_scope::vm, now()),
+                           other.clock.now());
+    EXPECT_FALSE(other.core.replicas().upstreams().contains(upstream_id{marked}));
+}
+
+TEST_F(replica_signals_test, replica_that_asks_for_quiet_gets_no_request_until_the_end_of_it)
+{
+    start("/read/1");
+    const std::string quiet_replica = replica();
+    step_ = flow_->on_head(quiet(2s), now());
+    EXPECT_EQ(flow_->take_set_aside(), "asked_for_quiet");
+    for (int i = 0; i < 100; ++i) {
+        deployment_.clock.advance(19ms);
+        start("/read/" + std::to_string(i));
+        ASSERT_TRUE(sends());
+        EXPECT_NE(replica(), quiet_replica);
+        step_ = flow_->on_head(refused, now());
+        EXPECT_NE(replica(), quiet_replica);
+    }
+}
+
+TEST_F(replica_signals_test, request_waits_when_all_replicas_ask_for_quiet_for_a_short_time)
+{
+    set_all_aside(1s);
+    start("/read/x");
+    ASSERT_TRUE(std::holds_alternative<wait_step>(step_));
+    EXPECT_LE(std::get<wait_step>(step_).pause, 1s);
+    deployment_.clock.advance(1s);
+    step_ = flow_->begin(now());
+    ASSERT_TRUE(sends());
+    const std::string tested = replica();
+    request_flow second{deployment_.core, deployment_.request("/read/y")};
+    const auto next = second.begin(now());
+    ASSERT_TRUE(std::holds_alternative<send_step>(next));
+    EXPECT_NE(std::get<send_step>(next).placed.upstream.value, tested)
+        << "The first request after the time goes alone.";
+}
+
+TEST_F(replica_signals_test, request_that_cannot_wait_is_rejected_at_once_with_the_time)
+{
+    set_all_aside(20s);
+    std::set<duration> advised;
+    for (int i = 0; i < 20; ++i) {
+        start("/read/x" + std::to_string(i));
+        ASSERT_EQ(status(), 503U);
+        const auto& reason = std::get<respond_step>(step_).reason;
+        EXPECT_EQ(reason.run, run_state::not_run);
+        ASSERT_TRUE(reason.retry_after.has_value());
+        EXPECT_GE(*reason.retry_after, 20s);
+        EXPECT_LE(*reason.retry_after, 30s);
+        advised.insert(*reason.retry_after);
+    }
+    EXPECT_GT(advised.size(), 10U) << "Callers do not all return at once.";
+}
+
 } // namespace
 } // namespace wagtailhitch
--- a/src/retry/retry_policy.cpp
+++ b/src/retry/retry_policy.cpp
@@ -120,7 +120,7 @@
     if (!resumes && failure.tokens_sent && !failure.repeatable_answer) {
         return stop(retry_refusal::already_sent);
     }
-    if (!budget.available(now)) {
+    if (!failure.unsent && !budget.available(now)) {
         return stop(retry_refusal::budget_used);
     }
     // The upstream continues the generation, so a backoff would only delay the resumed stream.
--- a/src/retry/retry_policy.hpp
+++ b/src/retry/retry_policy.hpp
@@ -69,6 +69,7 @@
     run_state run{run_state::outcome_unknown};
     bool idempotent{false};
     bool resumable{false};        ///< an engine holds the generation and is not known to be down
+    bool unsent{false};           ///< no replica has received the request in any attempt
     bool tokens_sent{false};      ///< the caller has received part of the response
     bool resume_failed{false};    ///< an earlier resume of this generation failed
     bool repeatable_answer{true}; ///< a restart can skip by index the tokens already sent
--- a/src/routing/replica_pool.cpp
+++ b/src/routing/replica_pool.cpp
@@ -145,7 +145,85 @@
     if (trial) {
         outliers_.begin_trial(replica, now);
     }
-    return {replica, replicas_[replica].generation, sequence, trial};
+    replica_view& view = replicas_[replica];
+    const bool tests_hold = view.held != hold_reason::none;
+    if (tests_hold) {
+        view.hold_tested_at = now;
+    }
+    return {replica, view.generation, sequence, trial, tests_hold};
+}
+
+void replica_pool::hold(replica_index replica, hold_reason reason, time_point until)
+{
+    replica_view& it = replicas_.at(replica);
+    if (it.held == hold_reason::none || until > it.held_until) {
+        it.held = reason;
+        it.held_until = until;
+    }
+    it.hold_tested_at = {};
+}
+
+bool replica_pool::hold_for_quiet(replica_index replica, duration quiet, time_point now)
+{
+    const replica_view& it = replicas_.at(replica);
+    const time_point until = now + std::min(quiet, settings_.longest_quiet);
+    if (it.held != hold_reason::none && until <= it.held_until) {
+        return false;
+    }
+    hold(replica, hold_reason::asked_for_quiet, until);
+    return true;
+}
+
+bool replica_pool::may_send(const dispatch_ticket& ticket, time_point now) const
+{
+    const replica_view& it = replicas_.at(ticket.replica);
+    return it.present && it.generation == ticket.generation &&
+           it.health == replica_health::usable &&
+           (it.held == hold_reason::none || now >= it.held_until);
+}
+
+std::optional<duration> replica_pool::until_released(replica_index replica, time_point now) const
+{
+    const replica_view& it = replicas_.at(replica);
+    const bool usable = it.present && it.health == replica_health::usable && now >= it.not_before &&
+                        outliers_.admits(replica, now);
+    if (!usable || !is_held(it, now)) {
+        return std::nullopt;
+    }
+    return std::max<duration>(it.held_until - now, settings_.hold_test_poll);
+}
+
+void replica_pool::note_answered(const dispatch_ticket& ticket)
+{
+    replica_view& it = replicas_.at(ticket.replica);
+    if (it.present && it.generation == ticket.generation) {
+        it.refusals = 0;
+        if (ticket.tests_hold) {
+            it.held = hold_reason::none;
+        }
+    }
+}
+
+void replica_pool::hold_after_refused_connection(replica_index replica, time_point now)
+{
+    const std::uint32_t doublings = std::min(replicas_[replica].refusals++, max_doublings);
+    const duration wait = settings_.first_refused_wait * (1LL << doublings);
+    hold(replica, hold_reason::connection_refused,
+         now + std::min<duration>(wait, settings_.longest_refused_wait));
+}
+
+void replica_pool::end_hold_test(const dispatch_ticket& ticket)
+{
+    if (ticket.tests_hold) {
+        replicas_[ticket.replica].hold_tested_at = {};
+    }
+}
+
+bool replica_pool::is_held(const replica_view& replica, time_point now) const
+{
+    const bool tested = replica.hold_tested_at != time_point{} &&
+                        now - replica.hold_tested_at < settings_.hold_test_timeout;
+    return replica.held != hold_reason::none && (now < replica.held_until || tested);
 }
 
 bool replica_pool::finish(const dispatch_ticket& ticket, const attempt_outcome& outcome,
@@ -156,6 +234,10 @@
         return false;
     }
     count_end(ticket, now);
+    end_hold_test(ticket);
+    if (outcome.connection_refused) {
+        hold_after_refused_connection(ticket.replica, now);
+    }
     if (outcome.result == attempt_result::cancelled) {
         if (ticket.trial) {
             outliers_.abandon_trial(ticket.replica);
@@ -241,7 +323,7 @@
 {
     const replica_view& it = replicas_[replica];
     return it.present && it.health == replica_health::usable && now >= it.not_before &&
-           outliers_.admits(replica, now);
+           !is_held(it, now) && outliers_.admits(replica, now);
 }
 
 outlier_state replica_pool::outlier(replica_index replica, time_point now) const
@@ -313,6 +395,8 @@
     it.load_at = {};
     it.log_slowness = 0;
     it.mean_total = {};
+    it.held = hold_reason::none;
+    it.refusals = 0;
     const std::uint32_t slots = loads_[replica].slots;
     loads_[replica] = {};
     loads_[replica].slots = slots;
--- a/src/routing/replica_pool.hpp
+++ b/src/routing/replica_pool.hpp
@@ -47,6 +47,16 @@
     {locality::remote, "remote"},
 }};
 
+/// Why a replica gets no new requests for a time.
+enum class hold_reason { none, connection_refused, asked_for_quiet };
+
+template<>
+inline constexpr auto enum_names<hold_reason> = name_table<hold_reason, 3>{{
+    {hold_reason::none, "none"},
+    {hold_reason::connection_refused, "connection_refused"},
+    {hold_reason::asked_for_quiet, "asked_for_quiet"},
+}};
+
 struct pool_settings {
     failure_domain_id failure_domain{}; ///< of this VM
     region_id region{};
@@ -62,6 +72,14 @@
     /// Minimum first-token time recorded for a failed attempt, so that a replica that fails quickly
     /// does not look fast.
     duration failure_first_token{5s};
+    /// Time without requests after a refused connection; doubles with each further one.
+    duration first_refused_wait{500ms};
+    duration longest_refused_wait{4s};
+    /// Longest time for which a replica that asks for quiet is set aside.
+    duration longest_quiet{60s};
+    /// While one request tests a replica after a hold, others wait for this time at most.
+    duration hold_test_timeout{5s};
+    duration hold_test_poll{50ms}; ///< interval of the checks whether the test has ended
     outlier_settings outliers{};
 };
 
@@ -83,6 +101,7 @@
     /// First-token time predicted by the chooser without the replica's slowness, from
     /// `choice::predicted`.
     duration predicted{};
+    bool connection_refused{false}; ///< no process listens at the replica's address
 };
 
 /// Identifies a dispatched attempt.
@@ -91,6 +110,7 @@
     std::uint32_t generation{0};
     std::uint64_t sequence{0};
     bool trial{false};
+    bool tests_hold{false}; ///< the first request after a hold
 };
 
 /// Load of one replica. Separate from replica_view because the chooser reads it for all members of
@@ -115,12 +135,16 @@
     time_point usable_since{};    ///< start of the slow-start ramp
     time_point not_before{};      ///< flap damping: no new requests before this time
     time_point returned_at{};     ///< latest return from `down`
-    std::uint32_t returns{0};     ///< consecutive returns within the flap window of each other
-    time_point load_at{};         ///< when the current load report was measured
-    double log_slowness{0};       ///< moving average of log(observed / predicted first-token time)
-    time_point slowness_at{};     ///< when the slowness was last observed
-    duration mean_total{};        ///< of successful attempts; 0 before the first
-    std::uint32_t generation{0};  ///< changes when the index is reused
+    hold_reason held{hold_reason::none};
+    time_point held_until{};     ///< no new requests before this time; then one at a time
+    time_point hold_tested_at{}; ///< start of the request that tests the replica after the hold
+    std::uint32_t refusals{0};   ///< refused connections in a row
+    std::uint32_t returns{0};    ///< consecutive returns within the flap window of each other
+    time_point load_at{};        ///< when the current load report was measured
+    double log_slowness{0};      ///< moving average of log(observed / predicted first-token time)
+    time_point slowness_at{};    ///< when the slowness was last observed
+    duration mean_total{};       ///< of successful attempts; 0 before the first
+    std::uint32_t generation{0}; ///< changes when the index is reused
     bool present{false};
 };
 
@@ -156,6 +180,20 @@
     /// Records that an attempt ended. Returns true if its outcome ejects the replica.
     bool finish(const dispatch_ticket& ticket, const attempt_outcome& outcome, time_point now);
 
+    /// Keeps new requests from a replica until `until`, or a later time of an earlier hold. After
+    /// that one request at a time is let through until the replica has answered one.
+    void hold(replica_index replica, hold_reason reason, time_point until);
+    /// Sets a replica aside that asks for no requests. Returns false if it already was for as long.
+    bool hold_for_quiet(replica_index replica, duration quiet, time_point now);
+    /// Whether the request of an earlier begin() may still be written to the replica.
+    [[nodiscard]] bool may_send(const dispatch_ticket& ticket, time_point now) const;
+    /// Time until the replica's hold ends, or until its test is checked again; nothing if it has no
+    /// hold or cannot be used for another reason.
+    [[nodiscard]] std::optional<duration> until_released(replica_index replica,
+                                                         time_point now) const;
+    /// The replica has begun to answer the attempt, which ends its hold.
+    void note_answered(const dispatch_ticket& ticket);
+
     /// Returns the statistics that this VM recorded since the last call, for its peers in the
     /// failure domain, and resets the outcome counts.
     std::vector<replica_statistics> take_statistics();
@@ -213,6 +251,9 @@
     void update(replica_index replica, const upstream_spec& spec, time_point now);
     void add_to_groups(replica_index replica);
     void remove_from_groups(replica_index replica);
+    void hold_after_refused_connection(replica_index replica, time_point now);
+    void end_hold_test(const dispatch_ticket& ticket);
+    [[nodiscard]] bool is_held(const replica_view& replica, time_point now) const;
     [[nodiscard]] const group* find_group(std::string_view name, bool service) const;
     [[nodiscard]] locality distance_to(const upstream_spec& spec) const;
     [[nodiscard]] pool_ejections smallest_pool(replica_index replica) const;
--- a/src/routing/replica_pool_test.cpp
+++ b/src/routing/replica_pool_test.cpp
@@ -162,5 +162,68 @@
     EXPECT_NEAR(pool_.slowness(index_, clock_.now()), 1, 0.01) << "the slowness did not decay";
 }
 
+TEST_F(replica_pool_test, replica_that_refuses_connections_is_set_aside_for_longer_each_time)
+{
+    for (const duration wait : {500ms, 1000ms, 2000ms, 4000ms, 4000ms}) {
+        ASSERT_TRUE(admits());
+        const auto ticket = pool_.begin(index_, clock_.now());
+        pool_.finish(ticket, {.result = attempt_result::cancelled, .connection_refused = true},
+                     clock_.now());
+        clock_.advance(wait - 1ms);
+        EXPECT_FALSE(admits());
+        clock_.advance(1ms);
+    }
+}
+
+TEST_F(replica_pool_test, one_request_tests_a_replica_after_its_hold)
+{
+    ASSERT_TRUE(pool_.hold_for_quiet(index_, 2s, clock_.now()));
+    EXPECT_FALSE(admits());
+    EXPECT_EQ(pool_.until_released(index_, clock_.now()), 2s);
+    clock_.advance(2s);
+    ASSERT_TRUE(admits());
+    const auto test = pool_.begin(index_, clock_.now());
+    EXPECT_TRUE(test.tests_hold);
+    EXPECT_FALSE(admits()) << "The test has no answer yet.";
+    EXPECT_TRUE(pool_.may_send(test, clock_.now()));
+    pool_.note_answered(test);
+    EXPECT_TRUE(admits());
+    EXPECT_FALSE(pool_.begin(index_, clock_.now()).tests_hold);
+}
+
+TEST_F(replica_pool_test, test_that_ends_without_an_answer_is_followed_by_another)
+{
+    pool_.hold_for_quiet(index_, 1s, clock_.now());
+    clock_.advance(1s);
+    const auto test = pool_.begin(index_, clock_.now());
+    pool_.finish(test, {.result = attempt_result::cancelled}, clock_.now());
+    ASSERT_TRUE(admits());
+    EXPECT_TRUE(pool_.begin(index_, clock_.now()).tests_hold);
+}
+
+TEST_F(replica_pool_test, quiet_is_not_shortened_and_is_capped)
+{
+    EXPECT_TRUE(pool_.hold_for_quiet(index_, 3s, clock_.now()));
+    EXPECT_FALSE(pool_.hold_for_quiet(index_, 1s, clock_.now()));
+    EXPECT_EQ(pool_.until_released(index_, clock_.now()), 3s);
+    EXPECT_TRUE(pool_.hold_for_quiet(index_, 10h, clock_.now()));
+    EXPECT_EQ(pool_.until_released(index_, clock_.now()), pool_settings{}.longest_quiet);
+}
+
+TEST_F(replica_pool_test, request_that_had_chosen_the_replica_is_not_sent_during_its_hold)
+{
+    const auto ticket = pool_.begin(index_, clock_.now());
+    EXPECT_TRUE(pool_.may_send(ticket, clock_.now()));
+    pool_.hold_for_quiet(index_, 1s, clock_.now());
+    EXPECT_FALSE(pool_.may_send(ticket, clock_.now()));
+}
+
+TEST_F(replica_pool_test, restarted_replica_has_no_hold)
+{
+    pool_.hold_for_quiet(index_, 60s, clock_.now());
+    set(replica_health::usable, 2);
+    EXPECT_TRUE(admits());
+}
+
 } // namespace
 } // namespace wagtailhitch
