Forget dropped answers of a busy replica

Found while reading the diff: the answers that were dropped for a larger model were kept per replica run until none had come for 3 s, so that a replica under steady load kept all of them and the VM's memory grew.

Change: each answer is forgotten 3 s after it was dropped. The test was written with the change.

--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -277,9 +277,11 @@
     std::erase_if(suspects_, [](const auto& item) { return item.second.crashes.empty(); });
     std::erase_if(explained_, [&](const auto& item) { return outdated(item.second); });
     std::erase_if(reported_, [&](const auto& item) { return outdated(item.second.at); });
-    std::erase_if(dropped_, [&](const auto& item) {
-        return now - item.second.back().at > settings_.drop_window;
-    });
+    for (auto& [run, answers] : dropped_) {
+        std::erase_if(
+            answers, [&](const dropped_answer& it) { return now - it.at > settings_.drop_window; });
+    }
+    std::erase_if(dropped_, [](const auto& item) { return item.second.empty(); });
     std::erase_if(quarantined_, [&](const auto& item) {
         return now - item.second.until > settings_.longest_quarantine;
     });
@@ -290,6 +292,15 @@
     }
 }
 
+std::size_t prompt_quarantine::dropped_answers() const
+{
+    std::size_t n = 0;
+    for (const auto& [run, answers] : dropped_) {
+        n += answers.size();
+    }
+    return n;
+}
+
 std::vector<quarantine_change> prompt_quarantine::take_changes()
 {
     return std::exchange(changes_, {});
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -112,6 +112,8 @@
     void evaluate(time_point now);
     /// Returns the changes since the last call.
     [[nodiscard]] std::vector<quarantine_change> take_changes();
+    /// Dropped answers that a lost replica could still be attributed to.
+    [[nodiscard]] std::size_t dropped_answers() const;
 
     /// The longest quarantine of a request with these parts; nothing if it may be sent. Once a
     /// quarantine is over, one request at a time is let through to test the part.
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -264,6 +264,16 @@
     EXPECT_TRUE(quarantine_.evidence({}, now()).empty());
 }
 
+// Guards against keeping every dropped answer of a replica that is always busy.
+TEST_F(prompt_quarantine_test, dropped_answers_are_forgotten_although_new_ones_come)
+{
+    for (int i = 0; i < 1000; ++i) {
+        quarantine_.note_dropped(std::vector{common}, 1, now());
+        wait(100ms);
+    }
+    EXPECT_LE(quarantine_.dropped_answers(), 32U);
+}
+
 // Whatever the traffic, a part with which answers go on as often as replicas are lost stays in use.
 RC_GTEST_FIXTURE_PROP(prompt_quarantine_test, sound_part_stays_in_use_beside_any_crashes, ())
 {
