--- a/src/proxy/crashing_parts_test.cpp
+++ b/src/proxy/crashing_parts_test.cpp
@@ -287,8 +287,8 @@
             if (deadly_now(generator_)) {
                 begin({common_part, 100 + generator_() % 60, deadly_part});
             }
-            for (std::size_t i = 0; i < streams_.size(); ++i) {
-                advance(streams_[i]);
+            for (auto& it : streams_) {
+                advance(it);
             }
             std::erase_if(streams_, [](const stream& it) { return !it.flow; });
         }
