Do not let a wrongly blamed prompt part explain away the one that crashes replicas

Cause: a sound part that was lost with replicas that crashed by themselves had most lost runs at first (5 against 4) and was quarantined; its runs then counted no more against the real cause, which had to be lost four more times.

Change: a part is taken early only if no other one is left with as many lost runs, less one, that it does not explain; and two runs lost on a part after a quarantine show that it did not explain the earlier ones, which count again.

The tests were written with the change.

--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <utility>
 
 namespace wagtailhitch {
@@ -216,8 +217,14 @@
             }
         }
     }
+    // Runs lost on a part although the quarantine is in force refute that it explained the others.
+    constexpr std::ptrdiff_t refuting_crashes = 2;
+    const auto is_explained = [this](replica_run run) { return explained_.contains(run); };
     for (auto& [part, item] : pooled) {
-        std::erase_if(item.crashes, [this](replica_run run) { return explained_.contains(run); });
+        const auto n = std::ranges::count_if(item.crashes, std::not_fn(is_explained));
+        if (n < refuting_crashes) {
+            std::erase_if(item.crashes, is_explained);
+        }
     }
     std::erase_if(pooled, [this](const auto& item) { return quarantined_.contains(item.first); });
 }
@@ -252,15 +259,27 @@
     }
     std::map<part_key, pooled_evidence> pooled = pool(now);
     remove_explained(pooled, now);
+    const std::map<part_key, pooled_evidence> all = pooled;
     std::erase_if(pooled, [this](const auto& item) { return !is_suspect(item.second); });
     std::erase_if(suspected_since_, [&](const auto& item) { return !pooled.contains(item.first); });
     for (const auto& [part, item] : pooled) {
         suspected_since_.try_emplace(part, now);
     }
     keep_best_explanations(pooled);
+    // A part that was lost nearly as often, in runs that the best explanation leaves open, may be
+    // the cause as well.
+    const auto leaves_open = [&](const pooled_evidence& best, const pooled_evidence& other) {
+        return static_cast<double>(other.crashes.size() + 1) >=
+                   static_cast<double>(settings_.min_crashes) +
+                       settings_.crashes_per_survival * other.survivals &&
+               !std::ranges::includes(best.crashes, other.crashes);
+    };
     for (const auto& [part, item] : pooled) {
         const bool settled = now - suspected_since_.at(part) >= settings_.settling_time;
-        const bool unambiguous = pooled.size() == 1;
+        const bool unambiguous =
+            pooled.size() == 1 && std::ranges::none_of(all, [&, &best = item](const auto& other) {
+                return leaves_open(best, other.second);
+            });
         if (settled && (unambiguous || item.crashes.size() >= settings_.ambiguous_crashes)) {
             suspected_since_.erase(part);
             impose(part, 1, item.crashes.size(), now);
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -123,6 +123,44 @@
     EXPECT_FALSE(holds(7));
 }
 
+// Guards against quarantining a sound part whose replicas also crash by themselves, which explains
+// away the evidence on the part that crashes replicas. Seen on cupcycle-ng, seed 2.
+TEST_F(prompt_quarantine_test, part_that_leaves_other_lost_runs_open_is_not_taken_early)
+{
+    constexpr part_key bystander = 7;
+    for (replica_run run = 1; run <= 3; ++run) {
+        lose({deadly}, run);
+        lose({bystander}, run);
+    }
+    lose({bystander}, 10);
+    lose({bystander}, 11);
+    lose({deadly}, 4);
+    wait(2s);
+    EXPECT_FALSE(holds(bystander));
+    for (replica_run run = 5; run <= 6; ++run) {
+        lose({deadly}, run);
+    }
+    wait(2s);
+    EXPECT_TRUE(holds(deadly));
+    EXPECT_FALSE(holds(bystander));
+}
+
+TEST_F(prompt_quarantine_test,
+       part_that_goes_on_crashing_replicas_is_found_after_a_wrong_quarantine)
+{
+    constexpr part_key wrong = 7;
+    for (replica_run run = 1; run <= 4; ++run) {
+        lose({deadly}, run);
+    }
+    quarantine_.adopt({wrong, 100s, 1}, now());
+    wait(3s);
+    EXPECT_FALSE(holds(deadly));
+    lose({deadly}, 5);
+    lose({deadly}, 6);
+    wait(1200ms);
+    EXPECT_TRUE(holds(deadly));
+}
+
 TEST_F(prompt_quarantine_test, runs_lost_around_a_quarantine_are_not_held_against_other_parts)
 {
     constexpr part_key bystander = 7;
