Keep the name of a crashed replica alive in the crash simulation

The fault is in the test: crash() took the name by reference to a map entry that it erases, and to a stream's replica that changes while streams are sent again. The entry is extracted and kept now. No check changed.

--- a/src/proxy/crashing_parts_test.cpp
+++ b/src/proxy/crashing_parts_test.cpp
@@ -118,10 +118,12 @@
         }
     }
 
-    void crash(const std::string& replica)
+    void crash(const std::string& name)
     {
-        const std::string domain = live_replicas_.at(replica).failure_domain.value;
-        live_replicas_.erase(replica);
+        // Keeps the name: `name` may belong to a stream that is sent to another replica below.
+        const auto crashed = live_replicas_.extract(name);
+        const std::string& replica = crashed.key();
+        const std::string domain = crashed.mapped().failure_domain.value;
         crashes_.push_back(clock_.now());
         restarts_.emplace_back(clock_.now() + restart, domain, replica);
         for (auto& it : streams_) {
