Let the answer of a test not end a hold that began after it

Cause: the first request after a hold tests the replica, and its answer ended whatever hold there was. A request sent before the test may be refused with a new time meanwhile; the test's answer then brought the replica back at once.

Change: the answer ends the hold only if its time has passed. replica_pool_test.answer_of_a_test_does_not_end_a_later_hold was written with the change; that the old code ends the hold follows from reading it, the test was not run on it.

--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -513,7 +513,7 @@
 
 void proxy_core::note_first_token(const placement& placed, duration first_token, time_point now)
 {
-    pool_.note_answered(placed.ticket);
+    pool_.note_answered(placed.ticket, now);
     if (!placed.waits) {
         const duration on_network = chooser_.round_trip_to(placed.distance);
         calibration_.observe(placed.engine, placed.inputs, first_token - on_network, now);
--- a/src/routing/replica_pool.cpp
+++ b/src/routing/replica_pool.cpp
@@ -193,12 +193,13 @@
     return std::max<duration>(it.held_until - now, settings_.hold_test_poll);
 }
 
-void replica_pool::note_answered(const dispatch_ticket& ticket)
+void replica_pool::note_answered(const dispatch_ticket& ticket, time_point now)
 {
     replica_view& it = replicas_.at(ticket.replica);
     if (it.present && it.generation == ticket.generation) {
         it.refusals = 0;
-        if (ticket.tests_hold) {
+        // The replica may have asked for quiet again after the test was sent.
+        if (ticket.tests_hold && now >= it.held_until) {
             it.held = hold_reason::none;
         }
     }
--- a/src/routing/replica_pool.hpp
+++ b/src/routing/replica_pool.hpp
@@ -191,8 +191,8 @@
     /// hold or cannot be used for another reason.
     [[nodiscard]] std::optional<duration> until_released(replica_index replica,
                                                          time_point now) const;
-    /// The replica has begun to answer the attempt, which ends its hold.
-    void note_answered(const dispatch_ticket& ticket);
+    /// The replica has begun to answer the attempt, which ends the hold that the attempt tests.
+    void note_answered(const dispatch_ticket& ticket, time_point now);
 
     /// Returns the statistics that this VM recorded since the last call, for its peers in the
     /// failure domain, and resets the outcome counts.
--- a/src/routing/replica_pool_test.cpp
+++ b/src/routing/replica_pool_test.cpp
@@ -186,11 +186,27 @@
     EXPECT_TRUE(test.tests_hold);
     EXPECT_FALSE(admits()) << "The test has no answer yet.";
     EXPECT_TRUE(pool_.may_send(test, clock_.now()));
-    pool_.note_answered(test);
+    pool_.note_answered(test, clock_.now());
     EXPECT_TRUE(admits());
     EXPECT_FALSE(pool_.begin(index_, clock_.now()).tests_hold);
 }
 
+// Guards against ending the quiet that an earlier request's refusal asked for during the test.
+TEST_F(replica_pool_test, answer_of_a_test_does_not_end_a_later_hold)
+{
+    pool_.hold_for_quiet(index_, 1s, clock_.now());
+    clock_.advance(1s);
+    const auto test = pool_.begin(index_, clock_.now());
+    clock_.advance(100ms);
+    ASSERT_TRUE(pool_.hold_for_quiet(index_, 10s, clock_.now()));
+    pool_.note_answered(test, clock_.now());
+    EXPECT_FALSE(admits());
+    pool_.finish(test, {.result = attempt_result::succeeded}, clock_.now());
+    EXPECT_FALSE(admits());
+    clock_.advance(10s);
+    EXPECT_TRUE(admits());
+}
+
 TEST_F(replica_pool_test, test_that_ends_without_an_answer_is_followed_by_another)
 {
     pool_.hold_for_quiet(index_, 1s, clock_.now());
