Do not send requests again whose prompt part is suspected

Cause: the VMs that had seen the first crashes were cut off from the others at 5 s. The others had to collect the evidence anew, and their retries crashed further replicas meanwhile: four of the last five sends, two of them retries.

Change: a request that lost its replica is not sent to another one while one of its parts has been lost with three runs in a row on any VM. It ends with 502, as it may have run.

request_flow_test.request_whose_part_is_suspected_is_not_sent_to_another_replica; written with the change.

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -388,6 +388,10 @@
     if (history_.sends >= route.maximum_sends || (possibly_run && !route.repeatable())) {
         return give_up(reason, now);
     }
+    if (failure.connection_lost && core_.quarantine().is_suspected(parts_)) {
+        reason.detail += " Not sent again: its prompt may crash replicas.";
+        return give_up(reason, now);
+    }
     failed_attempt attempt;
     attempt.code = failure.code;
     attempt.run = failure.run;
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -104,6 +104,26 @@
     }
 }
 
+// Guards against crashing one more replica with a retry while the evidence on a part is collected.
+TEST_F(request_flow_test, request_whose_part_is_suspected_is_not_sent_to_another_replica)
+{
+    const auto start_with_part = [this] {
+        auto request = deployment_.request("/read/1");
+        request.parts = {{66, 10}, {5, 10}};
+        flow_ = std::make_unique<request_flow>(deployment_.core, std::move(request));
+        step_ = flow_->begin(now());
+        return proxy_core::part_keys(*flow_->admitted(), flow_->request()).front();
+    };
+    attempt_failure lost = connection_reset;
+    lost.connection_lost = true;
+    const part_key part = start_with_part();
+    step_ = flow_->on_failure(lost, now());
+    EXPECT_TRUE(sends()) << "One lost replica proves nothing.";
+    deployment_.core.quarantine().take("vm-2", {{part, 0, {}, {{1, 0ms}, {2, 0ms}}}}, now());
+    step_ = flow_->on_failure(lost, now());
+    EXPECT_EQ(status(), 502U);
+}
+
 TEST_F(request_flow_test, answer_counts_for_its_parts_as_soon_as_it_is_past_its_beginning)
 {
     auto request = deployment_.request("/report/1");
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -186,6 +186,28 @@
     return out;
 }
 
+prompt_quarantine::suspicion prompt_quarantine::pooled_evidence(part_key part) const
+{
+    suspicion out{0, survived_at(part), {}};
+    for (const auto& [source, reported] : reported_) {
+        if (const auto it = reported.parts.find(part); it != reported.parts.end()) {
+            merge(it->second, out);
+        }
+    }
+    if (const auto it = suspects_.find(part); it != suspects_.end()) {
+        merge(it->second, out);
+    }
+    remove_survived(out);
+    return out;
+}
+
+bool prompt_quarantine::is_suspected(std::span<const part_key> parts) const
+{
+    return std::ranges::any_of(parts, [this](part_key part) {
+        return pooled_evidence(part).crashes.size() >= settings_.suspicious_crashes;
+    });
+}
+
 std::vector<part_evidence> prompt_quarantine::evidence(std::span<const std::string> sources,
                                                        time_point now) const
 {
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -34,6 +34,8 @@
     /// Replica runs that must have been lost in a row before a part is quarantined: with no answer
     /// between them that went on past its beginning.
     std::size_t min_crashes{4};
+    /// Replica runs lost in a row from which on requests with the part are not sent again.
+    std::size_t suspicious_crashes{3};
     /// From this number on, parts that the evidence cannot tell apart are all quarantined.
     std::size_t ambiguous_crashes{6};
     duration crash_memory{120s}; ///< a part without a lost run for this time is no suspect
@@ -135,6 +137,9 @@
     /// quarantine is over, one request at a time is let through to test the part.
     [[nodiscard]] std::optional<quarantine_hold> find(std::span<const part_key> parts,
                                                       time_point now) const;
+    /// Whether one of the parts may be about to be quarantined: a request that lost its replica
+    /// with it should not be sent to another one.
+    [[nodiscard]] bool is_suspected(std::span<const part_key> parts) const;
     /// Records that a request was sent. Returns whether it tests a part whose quarantine is over.
     bool note_sent(std::span<const part_key> parts, time_point now);
 
@@ -180,6 +185,8 @@
     [[nodiscard]] std::optional<time_point> survived_at(part_key part) const;
     static void merge(const suspicion& from, suspicion& into);
     static void remove_survived(suspicion& item);
+    /// Evidence of this VM and all others on one part.
+    [[nodiscard]] suspicion pooled_evidence(part_key part) const;
     /// Evidence of this VM and all others.
     [[nodiscard]] std::map<part_key, suspicion> pool() const;
     void note_explained(const std::map<part_key, suspicion>& pooled, time_point now);
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -355,6 +355,19 @@
     EXPECT_FALSE(holds(subject));
 }
 
+TEST_F(prompt_quarantine_test, part_of_three_lost_runs_in_a_row_is_suspected_at_once)
+{
+    const std::vector parts{common, deadly};
+    quarantine_.take("vm-2", {{deadly, 1, {}, {{1, 5s}}}}, now());
+    lose(parts, 2);
+    EXPECT_FALSE(quarantine_.is_suspected(parts));
+    lose(parts, 3);
+    EXPECT_TRUE(quarantine_.is_suspected(parts));
+    EXPECT_FALSE(quarantine_.is_suspected(std::vector{common}));
+    survive({deadly}, 1);
+    EXPECT_FALSE(quarantine_.is_suspected(parts));
+}
+
 TEST_F(prompt_quarantine_test, answer_that_goes_on_releases_a_part_on_all_vms)
 {
     quarantine_.adopt({common, 60s, 1}, now());
