Require more lost runs of a prompt part the more parts have as many

Change: another part holds up the decision only if it has enough lost runs itself; each further such part adds one to the six that are then needed, up to twelve.

Tests, written with the change: prompt_quarantine_test.part_is_taken_although_another_has_one_lost_run_less and part_beside_many_with_nearly_as_many_lost_runs_needs_more_of_them.

--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -349,10 +349,29 @@
 bool prompt_quarantine::is_open(const suspect& best, const suspect& other) const
 {
     const bool precedes = std::ranges::includes(other.crashes, best.crashes);
-    return other.weight + 1 >= static_cast<double>(settings_.min_crashes) && !precedes &&
+    return other.weight >= static_cast<double>(settings_.min_crashes) &&
+           other.weight + 1 >= best.weight && !precedes &&
            !std::ranges::includes(best.crashes, other.crashes);
 }
 
+// The more parts have nearly as many lost runs, the more likely one of them has them by chance.
+std::size_t prompt_quarantine::crashes_needed(const suspect& best,
+                                              const std::vector<suspect>& all) const
+{
+    const auto open = static_cast<std::size_t>(
+        std::ranges::count_if(all, [&](const suspect& other) { return is_open(best, other); }));
+    const auto equal =
+        static_cast<std::size_t>(std::ranges::count_if(all, [&](const suspect& other) {
+            return other.weight == best.weight && other.depth == best.depth &&
+                   other.crashes == best.crashes;
+        }));
+    const std::size_t others = open + equal - 1;
+    if (others == 0) {
+        return settings_.min_crashes;
+    }
+    return std::min(settings_.ambiguous_crashes + others - 1, settings_.most_crashes);
+}
+
 // The part with the most lost runs is taken first, and its runs no longer count against others.
 void prompt_quarantine::evaluate(time_point now)
 {
@@ -368,12 +387,7 @@
     }
     const std::vector<suspect> best = best_explanations(all);
     for (const auto& item : best) {
-        const bool enough = item.weight >= static_cast<double>(settings_.min_crashes);
-        const bool ambiguous =
-            best.size() > 1 ||
-            std::ranges::any_of(all, [&](const suspect& other) { return is_open(item, other); });
-        if (enough &&
-            (!ambiguous || item.weight >= static_cast<double>(settings_.ambiguous_crashes))) {
+        if (item.weight >= static_cast<double>(crashes_needed(item, all))) {
             const auto released = released_.find(item.part);
             const std::uint32_t before = released == released_.end() ? 0 : released->second.times;
             impose(item.part, before + 1, item.crashes.size(), now);
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -36,8 +36,10 @@
     std::size_t min_crashes{4};
     /// Replica runs lost in a row from which on requests with the part are not sent again.
     std::size_t suspicious_crashes{3};
-    /// From this number on, parts that the evidence cannot tell apart are all quarantined.
+    /// Runs needed if another part has nearly as many; one more for each further such part, up to
+    /// `most_crashes`. From then on, parts that the evidence cannot tell apart are all quarantined.
     std::size_t ambiguous_crashes{6};
+    std::size_t most_crashes{12};
     duration crash_memory{120s}; ///< a part without a lost run for this time is no suspect
     /// Lost runs count after this time, so that other VMs can report answers that went on.
     duration settling_time{1s};
@@ -196,6 +198,8 @@
     /// The parts that explain most lost runs and, of those, the most specific ones.
     [[nodiscard]] static std::vector<suspect> best_explanations(const std::vector<suspect>& all);
     [[nodiscard]] bool is_open(const suspect& best, const suspect& other) const;
+    [[nodiscard]] std::size_t crashes_needed(const suspect& best,
+                                             const std::vector<suspect>& all) const;
     void forget(time_point now);
     [[nodiscard]] duration dropped_memory() const;
 
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -145,6 +145,45 @@
     EXPECT_FALSE(holds(bystander));
 }
 
+// Guards against waiting for a bystander that was lost with a single request. Seen on
+// indice-andino, seed 1, with two parts that crash replicas.
+TEST_F(prompt_quarantine_test, part_is_taken_although_another_has_one_lost_run_less)
+{
+    constexpr part_key bystander = 7;
+    for (replica_run run = 1; run <= 4; ++run) {
+        lose({deadly}, run);
+    }
+    for (const replica_run run : {1, 2, 10}) {
+        lose({bystander}, run);
+    }
+    wait(1200ms);
+    EXPECT_TRUE(holds(deadly));
+    EXPECT_FALSE(holds(bystander));
+}
+
+// Guards against quarantining sound parts while several others crash replicas. Seen on
+// indice-andino, seed 5, with three parts.
+TEST_F(prompt_quarantine_test, part_beside_many_with_nearly_as_many_lost_runs_needs_more_of_them)
+{
+    for (replica_run run = 1; run <= 6; ++run) {
+        lose({deadly}, run);
+    }
+    for (part_key bystander = 7; bystander < 10; ++bystander) {
+        for (replica_run run = 1; run <= 4; ++run) {
+            lose({bystander}, run);
+        }
+        lose({bystander}, 100 + bystander);
+    }
+    wait(2s);
+    EXPECT_FALSE(holds(deadly));
+    lose({deadly}, 7);
+    wait(1200ms);
+    EXPECT_TRUE(holds(deadly));
+    for (part_key bystander = 7; bystander < 10; ++bystander) {
+        EXPECT_FALSE(holds(bystander));
+    }
+}
+
 TEST_F(prompt_quarantine_test,
        part_that_goes_on_crashing_replicas_is_found_after_a_wrong_quarantine)
 {
