--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -34,6 +34,7 @@
     void handle(const http_request& request, const exchange_ptr& out);
     void control(const json& change);
     [[nodiscard]] json state() const;
+    [[nodiscard]] std::string headers() const;
 
 private:
     void chat(const http_request& request, const exchange_ptr& out);
@@ -63,6 +64,8 @@
     std::deque<generation_ptr> ended_generations_;
     load_report sampled_load_;
     bool leaving_{false};
+    time_point quiet_until_{};
+    std::uint64_t refused_while_quiet_{0};
     double bad_error_rate_{0};
     stream_fault break_fault_;
     bool break_loses_generation_{false};
@@ -125,7 +128,12 @@
 
 void engine::handle(const http_request& request, const exchange_ptr& out)
 {
-    if (request.path == "/v1/chat/completions" && request.method == "POST") {
+    const bool is_chat = request.path == "/v1/chat/completions" && request.method == "POST";
+    if (is_chat && event_loop::now() < quiet_until_) {
+        ++refused_while_quiet_;
+        out->refuse(quiet_until_ - event_loop::now(), {{"error", "quiet"}});
+    }
+    else if (is_chat) {
         chat(request, out);
     }
     else if (request.path.starts_with(generations_path)) {
@@ -380,6 +388,9 @@
         if (key == "leaving") {
             leaving_ = value.get<bool>();
         }
+        else if (key == "quiet_ms") {
+            quiet_until_ = event_loop::now() + std::chrono::milliseconds{value.get<std::int64_t>()};
+        }
         else if (key == "slow_factor") {
             batch_.set_slow_factor(value.get<double>());
         }
@@ -412,6 +423,7 @@
 {
     return {{"name", settings_.name},
             {"leaving", leaving_},
+            {"refused_while_quiet", refused_while_quiet_},
             {"loaded", loaded_},
             {"bad_versions", bad_versions_},
             {"running", batch_.running()},
@@ -424,6 +436,11 @@
             {"highest_fencing", highest_fencing_}};
 }
 
+std::string engine::headers() const
+{
+    return leaving_ ? "X-Leaving: " + std::to_string(run_) + "\r\n" : std::string{};
+}
+
 } // namespace
 
 int run_engine(const listen_options& listen, const engine_settings& settings)
@@ -434,6 +451,7 @@
     hooks.handle = [&](const auto& request, const auto& out) { service.handle(request, out); };
     hooks.control = [&](const json& change) { service.control(change); };
     hooks.state = [&] { return service.state(); };
+    hooks.headers = [&] { return service.headers(); };
     return run_server(loop, listen, hooks);
 }
 
--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -98,6 +98,10 @@
     }
     void lose_next_reply() { lose_reply_ = true; }
     [[nodiscard]] bool loses_reply() const { return lose_reply_; }
+    [[nodiscard]] std::string headers() const
+    {
+        return server_.hooks.headers ? server_.hooks.headers() : std::string{};
+    }
     [[nodiscard]] bool open() const { return open_ && !unresponsive_; }
 
 private:
@@ -130,21 +134,20 @@
 
     void reply_text(unsigned status, std::string_view type, std::string_view body) override
     {
-        if (!open()) {
-            return;
-        }
-        if (to_->loses_reply()) {
-            drop();
-            return;
-        }
-        to_->write(whole_response(status, type, body));
-        complete();
+        send_whole(status, type, body, {});
+    }
+
+    void refuse(duration retry_after, const json& body) override
+    {
+        const double seconds = std::chrono::duration<double>(retry_after).count();
+        send_whole(503, "application/json", body.dump(),
+                   "Retry-After: " + std::to_string(seconds) + "\r\n");
     }
 
     void start_events() override
     {
         if (open()) {
-            to_->write(event_stream_head());
+            to_->write(event_stream_head(to_->headers()));
         }
     }
 
@@ -179,6 +182,20 @@
     [[nodiscard]] bool open() const override { return !done_ && to_->open(); }
 
 private:
+    void send_whole(unsigned status, std::string_view type, std::string_view body,
+                    const std::string& headers)
+    {
+        if (!open()) {
+            return;
+        }
+        if (to_->loses_reply()) {
+            drop();
+            return;
+        }
+        to_->write(whole_response(status, type, body, to_->headers() + headers));
+        complete();
+    }
+
     void complete()
     {
         done_ = true;
--- a/standins/server.hpp
+++ b/standins/server.hpp
@@ -50,6 +50,8 @@
 
     virtual void reply(unsigned status, const json& body) = 0;
     virtual void reply_text(unsigned status, std::string_view type, std::string_view body) = 0;
+    /// Answers 503 with Retry-After.
+    virtual void refuse(duration retry_after, const json& body) = 0;
     /// Server-sent events with chunked transfer.
     virtual void start_events() = 0;
     virtual void event(std::string_view data) = 0;
@@ -88,6 +90,8 @@
     std::function<void(const http_request&, const exchange_ptr&)> handle;
     /// Handles the keys of POST /control that are not in server_faults. Throws on unknown keys.
     std::function<void(const json&)> control;
+    /// Header lines of all answers, each with its end of line.
+    std::function<std::string()> headers;
     /// Added to the answer of GET /control.
     std::function<json()> state;
 };
--- a/standins/server_text.cpp
+++ b/standins/server_text.cpp
@@ -57,21 +57,27 @@
 
 } // namespace
 
-std::string whole_response(unsigned status, std::string_view type, std::string_view body)
+std::string whole_response(unsigned status, std::string_view type, std::string_view body,
+                           std::string_view headers)
 {
     std::string out = "HTTP/1.1 " + std::to_string(status) + " ";
     out += reason_phrase(status);
     out += "\r\nContent-Type: ";
     out += type;
-    out += "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    out += "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    out += headers;
+    out += "\r\n";
     out += body;
     return out;
 }
 
-std::string event_stream_head()
+std::string event_stream_head(std::string_view headers)
 {
-    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-           "Cache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string out = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                      "Cache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n";
+    out += headers;
+    out += "\r\n";
+    return out;
 }
 
 std::string event_chunk(std::string_view data)
--- a/standins/server_text.hpp
+++ b/standins/server_text.hpp
@@ -11,8 +11,10 @@
 
 inline constexpr std::string_view last_chunk = "0\r\n\r\n";
 
-std::string whole_response(unsigned status, std::string_view type, std::string_view body);
-std::string event_stream_head();
+/// `headers`: further header lines, each with its end of line.
+std::string whole_response(unsigned status, std::string_view type, std::string_view body,
+                           std::string_view headers);
+std::string event_stream_head(std::string_view headers);
 /// One server-sent event as one transfer chunk.
 std::string event_chunk(std::string_view data);
 
--- a/standins/service.cpp
+++ b/standins/service.cpp
@@ -35,6 +35,8 @@
                 {"executed", executed_}};
     }
 
+    [[nodiscard]] std::string headers() const;
+
 private:
     void execute(const http_request& request, const exchange_ptr& out);
     [[nodiscard]] json load() const;
@@ -47,6 +49,7 @@
     std::uint64_t executed_{0};
     std::uint32_t running_{0};
     bool leaving_{false};
+    time_point quiet_until_{};
     std::uint64_t fail_after_run_{0};
     std::uint64_t stall_after_run_{0};
 };
@@ -61,6 +64,10 @@
         out->reply(200, executions());
         return;
     }
+    if (event_loop::now() < quiet_until_) {
+        out->refuse(quiet_until_ - event_loop::now(), {{"error", "quiet"}});
+        return;
+    }
     ++running_;
     loop_.after(settings_.service_time, [this, request, out] {
         --running_;
@@ -118,6 +125,9 @@
         if (key == "leaving") {
             leaving_ = value.get<bool>();
         }
+        else if (key == "quiet_ms") {
+            quiet_until_ = event_loop::now() + std::chrono::milliseconds{value.get<std::int64_t>()};
+        }
         else if (key == "fail_after_run") {
             fail_after_run_ = value.get<std::uint64_t>();
         }
@@ -133,6 +143,11 @@
     }
 }
 
+std::string plain_service::headers() const
+{
+    return leaving_ ? "X-Leaving: " + std::to_string(run_) + "\r\n" : std::string{};
+}
+
 } // namespace
 
 int run_service(const listen_options& listen, const service_settings& settings)
@@ -143,6 +158,7 @@
     hooks.handle = [&](const auto& request, const auto& out) { service.handle(request, out); };
     hooks.control = [&](const json& change) { service.control(change); };
     hooks.state = [&] { return service.state(); };
+    hooks.headers = [&] { return service.headers(); };
     return run_server(loop, listen, hooks);
 }
 
--- a/tests/process/engine_standin_test.cpp
+++ b/tests/process/engine_standin_test.cpp
@@ -175,6 +175,24 @@
     EXPECT_EQ(stream("vm/1/2", "n-3").status, 200U);
 }
 
+// Guards against a stand-in that leaves, or asks for quiet, without saying so.
+TEST_F(engine_standin_test, marks_of_leaving_and_quiet_are_in_the_answers)
+{
+    start_engine();
+    EXPECT_FALSE(stream("vm/1/1").headers.contains("x-leaving"));
+    control({{"leaving", true}, {"quiet_ms", 60'000}});
+    const http_reply refused = stream("vm/1/2");
+    EXPECT_EQ(refused.status, 503U);
+    EXPECT_NEAR(std::stod(refused.headers.at("retry-after")), 60, 20);
+    const auto run = std::to_string(get("/v1/load").body().at("run").get<std::uint64_t>());
+    EXPECT_EQ(refused.headers.at("x-leaving"), run);
+    control({{"quiet_ms", 0}});
+    const http_reply streamed = stream("vm/1/3");
+    EXPECT_EQ(streamed.status, 200U);
+    EXPECT_EQ(streamed.headers.at("x-leaving"), run);
+    EXPECT_EQ(state().at("refused_while_quiet"), 1);
+}
+
 class service_standin_test : public standin_test {};
 
 // Guards against a second execution that is missing from the count.
