--- a/src/node/node_core_test.cpp
+++ b/src/node/node_core_test.cpp
@@ -139,6 +139,29 @@
     EXPECT_EQ(answer.content, whole_answer);
 }
 
+// Guards against an upstream that gets one request at a time for good after it was quiet.
+TEST_F(node_core_test, upstreams_take_many_requests_again_after_their_quiet)
+{
+    const auto sent_at_once = [this] {
+        const std::size_t before = runs();
+        for (int i = 0; i < 16; ++i) {
+            net_.call("a1", test_chat("report"));
+        }
+        net_.run_for(15ms);
+        return runs() - before;
+    };
+    const auto usual = sent_at_once();
+    net_.run_for(5s);
+    ask_all_for_quiet(1s);
+    net_.quiet.clear();
+    net_.run_for(2s);
+    for (int i = 0; i < 8; ++i) {
+        net_.call("a1", test_chat("report"));
+        net_.run_for(500ms);
+    }
+    EXPECT_EQ(sent_at_once(), usual);
+}
+
 TEST_F(node_core_test, request_is_refused_at_once_while_all_upstreams_are_quiet_beyond_its_time)
 {
     ask_all_for_quiet(50s);
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -290,8 +290,8 @@
             const bool recent =
                 recently_imposed && at >= last_imposed_at_ - settings_.settling_time;
             if (quarantined || recent) {
-                explained_.try_emplace(run, explanation{quarantined ? part : last_imposed_, now});
-                explained_.at(run).at = now;
+                const part_key by = quarantined ? part : last_imposed_;
+                explained_.try_emplace(run, explanation{by, now}).first->second.at = now;
             }
         }
     }
--- a/src/request/chat_dispatch.cpp
+++ b/src/request/chat_dispatch.cpp
@@ -125,7 +125,14 @@
 void chat_requests::dispatch_resume(chat_request& request, time_point now, std::vector<output>& out)
 {
     const auto index = state_.pool.find(request.broken->upstream);
-    if (!index) {
+    // The generation is at this upstream only; while it wants no requests, the resume waits.
+    const auto held = index ? state_.pool.until_released(*index, now) : std::nullopt;
+    if (held && now + *held < request.facts.deadline) {
+        request.retry_at = now + std::max(*held, min_choice_delay);
+        request.retry_resumes = true;
+        return;
+    }
+    if (!index || held) {
         request.resume_failed = true;
         retry_or_fail(requests_.find(request.facts.id),
                       error{error_code::stream_broken,
@@ -137,12 +144,6 @@
                       now, out);
         return;
     }
-    // The generation is at this upstream only; while it wants no requests, the resume waits.
-    if (const auto held = state_.pool.until_released(*index, now)) {
-        request.retry_at = now + std::max(*held, min_choice_delay);
-        request.retry_resumes = true;
-        return;
-    }
     chat_attempt attempt = *request.broken;
     attempt.id.number = ++request.attempts_made;
     attempt.ticket = state_.pool.begin(*index, now);
@@ -213,15 +214,18 @@
         return;
     }
     const auto attempt = *request->attempt;
-    state_.upstreams.on_attempt_failure(attempt.upstream, now);
     const bool resumed = attempt.id.number != attempt.generation;
-    request->resume_failed = request->resume_failed || resumed;
     if (event.withdrawn) {
         end_attempt(*request, attempt_result::cancelled, now);
-        request->tried_replicas.pop_back();
         request->retry_at = now;
+        request->retry_resumes = resumed;
+        if (!resumed) {
+            request->tried_replicas.pop_back();
+        }
         return;
     }
+    state_.upstreams.on_attempt_failure(attempt.upstream, now);
+    request->resume_failed = request->resume_failed || resumed;
     end_attempt_for_resume(*request, now);
     retry_or_fail(requests_.find(event.attempt.request), event.reason, now, out);
 }
--- a/src/request/chat_requests.cpp
+++ b/src/request/chat_requests.cpp
@@ -269,6 +269,7 @@
     auto& attempt = *request->attempt;
     if (!attempt.first_token) {
         attempt.first_token = now;
+        state_.pool.note_answered(attempt.ticket, now);
     }
     if (event.index < request->next_index) {
         state_.counters.count("repeated_tokens_total").add();
--- a/src/request/service_requests.cpp
+++ b/src/request/service_requests.cpp
@@ -231,6 +231,9 @@
                                 time_point now)
 {
     auto& request = it->second;
+    if (request.pool_ticket) {
+        state_.pool.note_answered(*request.pool_ticket, now);
+    }
     end_attempt(request, attempt_result::succeeded, now);
     if (request.claim) {
         state_.claim_items.add(
