Ignore requests for new connections before the listening socket closes

Cause: a connection that the kernel completes between the last accept and the close of the listening socket is reset, and the caller has sent its request by then.

Without socket filters the stop is as before, with a log line.

--- a/src/net/endpoint.cpp
+++ b/src/net/endpoint.cpp
@@ -1,7 +1,10 @@
 #include "net/endpoint.hpp"
 
+#include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <cerrno>
 #include <charconv>
 
@@ -72,6 +75,21 @@
     return {};
 }
 
+bool drop_connection_requests(tcp_acceptor& acceptor)
+{
+    constexpr std::uint32_t flags_offset = 13; // of the TCP header, where the filter's data begins
+    std::array<sock_filter, 5> code{{
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flags_offset),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, 0xffffffffU),
+    }};
+    const sock_fprog program{static_cast<unsigned short>(code.size()), code.data()};
+    return ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                        sizeof program) == 0;
+}
+
 bool is_open_without_unread_data(tcp_socket& socket)
 {
     char byte = 0;
--- a/src/net/endpoint.hpp
+++ b/src/net/endpoint.hpp
@@ -24,6 +24,10 @@
 /// Opens, binds and listens. Errors: internal with the address.
 expected<void> listen_on(tcp_acceptor& acceptor, const std::string& address);
 
+/// Lets the listening socket ignore requests for new connections, while those that are being opened
+/// or wait to be accepted complete. Returns false if the system has no socket filters.
+bool drop_connection_requests(tcp_acceptor& acceptor);
+
 /// True when the connection is still open and has no unread bytes.
 bool is_open_without_unread_data(tcp_socket& socket);
 
--- a/src/net/proxy/proxy_server.cpp
+++ b/src/net/proxy/proxy_server.cpp
@@ -115,6 +115,13 @@
                                 [](const auto& it) { return it->busy() || it->receiving(); });
 }
 
+void proxy_server::ignore_new_connections()
+{
+    if (!detail::drop_connection_requests(state_->acceptor)) {
+        state_->context.log.write("connection_requests_not_ignored", {});
+    }
+}
+
 // Closing the listening socket resets the connections that wait in its queue, so they are accepted
 // first.
 void proxy_server::stop_accepting()
--- a/src/net/proxy/proxy_server.hpp
+++ b/src/net/proxy/proxy_server.hpp
@@ -52,6 +52,9 @@
     /// Closes connections without a pending answer on which no request is arriving; the others
     /// close after their answer.
     void close_idle();
+    /// Ignores requests for new connections, so that none completes while the listening socket
+    /// closes; those that are being opened are still accepted.
+    void ignore_new_connections();
     /// Accepts the connections that wait and no further ones.
     void stop_accepting();
     /// Whether a request is being answered by a replica, or waits for one.
--- a/src/net/proxy/proxy_server_test.cpp
+++ b/src/net/proxy/proxy_server_test.cpp
@@ -616,6 +616,27 @@
     EXPECT_TRUE(pump_until([&] { return late->received.find("\r\n\r\nok") != std::string::npos; }));
 }
 
+// Guards against resetting a connection that completes while the listening socket closes.
+TEST_F(proxy_server_test, no_connection_completes_once_new_ones_are_ignored)
+{
+    ASSERT_TRUE(pump_until([&] { return server_.connections() == 1; }));
+    const auto waiting = connect_to(io_, server_.address());
+    server_.ignore_new_connections();
+    detail::tcp_socket late{io_.get_executor()};
+    bool connected = false;
+    late.async_connect(*detail::parse_endpoint(server_.address()),
+                       [&](boost::system::error_code ec) { connected = !ec; });
+    ASSERT_TRUE(pump_until([&] { return server_.connections() == 2; }));
+    waiting->write("GET /read/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n");
+    wait_for_request(1)->write(small_answer);
+    EXPECT_TRUE(
+        pump_until([&] { return waiting->received.find("\r\n\r\nok") != std::string::npos; }));
+    EXPECT_FALSE(connected);
+    server_.stop_accepting();
+    EXPECT_EQ(server_.connections(), 2U);
+    late.close();
+}
+
 // The VM was suspended after it had decided to send and before the connection was open.
 TEST_F(proxy_server_test, request_is_not_sent_once_its_key_may_have_been_revoked_meanwhile)
 {
