Let requests wait while the evidence on a suspected prompt part settles

Cause: lost runs count after one second, so that other VMs can report answers. During that second new requests with the part went to further replicas.

Change: a request with a part of three lost runs in a row waits until the latest of them counts, if that leaves half of its time. Then the part is quarantined, cleared by an answer that went on, or tried again, about once a second.

Tests, written with the change: prompt_quarantine_test.requests_wait_until_*, request_flow_test.request_waits_while_*.

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -114,11 +114,16 @@
     if (const auto refused = core_.check_parts(request_, parts_, now)) {
         return give_up(*refused, now);
     }
+    const duration longest_wait = (admitted_->answer_deadline - now) / held_wait_divisor;
+    const auto unsettled = core_.quarantine().until_settled(parts_, now);
+    if (unsettled && *unsettled < longest_wait) {
+        return wait_step{*unsettled, "Replicas were just lost with a part of the prompt."};
+    }
     auto placed = core_.place(*admitted_, request_, history_, now);
     if (!placed) {
         error reason = placed.error();
         if (const auto held = core_.until_released(*admitted_, history_, now)) {
-            if (*held < (admitted_->answer_deadline - now) / held_wait_divisor) {
+            if (*held < longest_wait) {
                 return wait_step{*held, reason.detail};
             }
             reason.retry_after = core_.spread(*held);
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -124,6 +124,23 @@
     EXPECT_EQ(status(), 502U);
 }
 
+TEST_F(request_flow_test, request_waits_while_the_evidence_on_its_part_settles)
+{
+    auto request = deployment_.request("/read/1");
+    request.parts = {{66, 10}, {5, 10}};
+    const auto admitted = deployment_.core.admit(request, now());
+    const part_key part = proxy_core::part_keys(*admitted, request).front();
+    deployment_.core.quarantine().take("vm-2", {{part, 0, {}, {{1, 3s}, {2, 2s}, {3, 900ms}}}},
+                                       now());
+    flow_ = std::make_unique<request_flow>(deployment_.core, std::move(request));
+    step_ = flow_->begin(now());
+    const auto* wait = std::get_if<wait_step>(&step_);
+    ASSERT_NE(wait, nullptr);
+    deployment_.clock.advance(wait->pause);
+    step_ = flow_->begin(now());
+    EXPECT_TRUE(sends());
+}
+
 TEST_F(request_flow_test, answer_counts_for_its_parts_as_soon_as_it_is_past_its_beginning)
 {
     auto request = deployment_.request("/report/1");
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
+#include <ranges>
 #include <utility>
 
 namespace wagtailhitch {
@@ -208,6 +209,24 @@
     });
 }
 
+std::optional<duration> prompt_quarantine::until_settled(std::span<const part_key> parts,
+                                                         time_point now) const
+{
+    std::optional<duration> out;
+    for (const part_key part : parts) {
+        const suspicion item = pooled_evidence(part);
+        if (item.crashes.size() < settings_.suspicious_crashes) {
+            continue;
+        }
+        const time_point latest = std::ranges::max(item.crashes | std::views::values);
+        const duration wait = latest + settling_time() - now;
+        if (wait > duration{0} && (!out || wait > *out)) {
+            out = wait;
+        }
+    }
+    return out;
+}
+
 std::vector<part_evidence> prompt_quarantine::evidence(std::span<const std::string> sources,
                                                        time_point now) const
 {
@@ -300,7 +319,7 @@
 std::vector<prompt_quarantine::suspect>
 prompt_quarantine::suspects(const std::map<part_key, suspicion>& pooled, time_point now) const
 {
-    const duration settling = std::max(settings_.settling_time, report_delay_);
+    const duration settling = settling_time();
     std::vector<suspect> out;
     for (const auto& [part, item] : pooled) {
         if (quarantined_.contains(part)) {
@@ -382,11 +401,13 @@
     const std::map<part_key, suspicion> pooled = pool();
     note_explained(pooled, now);
     const std::vector<suspect> all = suspects(pooled, now);
-    if (all.empty()) {
+    const bool enough = std::ranges::any_of(all, [this](const suspect& it) {
+        return it.weight >= static_cast<double>(settings_.min_crashes);
+    });
+    if (!enough) {
         return;
     }
-    const std::vector<suspect> best = best_explanations(all);
-    for (const auto& item : best) {
+    for (const auto& item : best_explanations(all)) {
         if (item.weight >= static_cast<double>(crashes_needed(item, all))) {
             const auto released = released_.find(item.part);
             const std::uint32_t before = released == released_.end() ? 0 : released->second.times;
@@ -410,8 +431,10 @@
         return now - item.second.at > settings_.release_memory;
     });
     for (auto& [run, answers] : dropped_) {
-        std::erase_if(answers,
-                      [&](const dropped_answer& it) { return now - it.at > dropped_memory(); });
+        // Other VMs report a lost run some time after the loss.
+        std::erase_if(answers, [&](const dropped_answer& it) {
+            return now - it.at > settings_.drop_window + settling_time();
+        });
     }
     std::erase_if(dropped_, [](const auto& item) { return item.second.empty(); });
     std::erase_if(quarantined_, [&](const auto& item) {
@@ -422,10 +445,9 @@
     }
 }
 
-// Other VMs report a lost run some time after the loss.
-duration prompt_quarantine::dropped_memory() const
+duration prompt_quarantine::settling_time() const
 {
-    return settings_.drop_window + std::max(settings_.settling_time, report_delay_);
+    return std::max(settings_.settling_time, report_delay_);
 }
 
 std::size_t prompt_quarantine::dropped_answers() const
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -142,6 +142,10 @@
     /// Whether one of the parts may be about to be quarantined: a request that lost its replica
     /// with it should not be sent to another one.
     [[nodiscard]] bool is_suspected(std::span<const part_key> parts) const;
+    /// Time until the latest lost run of a suspected part counts; nothing if none is that recent. A
+    /// request with the part should wait for that long, so that it crashes no replica meanwhile.
+    [[nodiscard]] std::optional<duration> until_settled(std::span<const part_key> parts,
+                                                        time_point now) const;
     /// Records that a request was sent. Returns whether it tests a part whose quarantine is over.
     bool note_sent(std::span<const part_key> parts, time_point now);
 
@@ -201,7 +205,8 @@
     [[nodiscard]] std::size_t crashes_needed(const suspect& best,
                                              const std::vector<suspect>& all) const;
     void forget(time_point now);
-    [[nodiscard]] duration dropped_memory() const;
+    /// Time after which lost runs count.
+    [[nodiscard]] duration settling_time() const;
 
     quarantine_settings settings_;
     duration report_delay_{};
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -407,6 +407,23 @@
     EXPECT_FALSE(quarantine_.is_suspected(parts));
 }
 
+TEST_F(prompt_quarantine_test, requests_wait_until_the_lost_runs_of_a_suspected_part_count)
+{
+    const std::vector parts{common, deadly};
+    lose({deadly}, 1);
+    lose({deadly}, 2);
+    clock_.advance(5s);
+    EXPECT_FALSE(quarantine_.until_settled(parts, now()));
+    lose({deadly}, 3);
+    EXPECT_EQ(quarantine_.until_settled(parts, now()), 1s);
+    clock_.advance(400ms);
+    EXPECT_EQ(quarantine_.until_settled(parts, now()), 600ms);
+    quarantine_.set_report_delay(2s);
+    EXPECT_EQ(quarantine_.until_settled(parts, now()), 1600ms);
+    clock_.advance(1600ms);
+    EXPECT_FALSE(quarantine_.until_settled(parts, now())) << "Three prove nothing.";
+}
+
 TEST_F(prompt_quarantine_test, answer_that_goes_on_releases_a_part_on_all_vms)
 {
     quarantine_.adopt({common, 60s, 1}, now());
