Pass parameters that are only read by reference

The linter rejected three parameters, and could not parse the view of a map's values that the compiler accepts.

--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -46,7 +46,7 @@
         detail::http_call_ptr call;
     };
 
-    state(boost::asio::io_context& context, upstream_client_settings values, input_sink sink,
+    state(boost::asio::io_context& context, const upstream_client_settings& values, input_sink sink,
           metrics& registry)
         : io{context}, settings{values}, sender{context, std::move(sink),
                                                 registry.count("upstream_inputs_delayed_total")},
@@ -287,8 +287,9 @@
                         });
 }
 
-upstream_client::upstream_client(boost::asio::io_context& io, upstream_client_settings settings,
-                                 input_sink sink, metrics& registry)
+upstream_client::upstream_client(boost::asio::io_context& io,
+                                 const upstream_client_settings& settings, input_sink sink,
+                                 metrics& registry)
     : state_{std::make_shared<state>(io, settings, std::move(sink), registry)}
 {
 }
--- a/src/net/upstream_client.hpp
+++ b/src/net/upstream_client.hpp
@@ -43,8 +43,8 @@
 
 class upstream_client {
 public:
-    upstream_client(boost::asio::io_context& io, upstream_client_settings settings, input_sink sink,
-                    metrics& registry);
+    upstream_client(boost::asio::io_context& io, const upstream_client_settings& settings,
+                    input_sink sink, metrics& registry);
     ~upstream_client();
     upstream_client(const upstream_client&) = delete;
     upstream_client& operator=(const upstream_client&) = delete;
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <functional>
 #include <iterator>
-#include <ranges>
 #include <utility>
 
 namespace wagtailhitch {
@@ -91,7 +90,7 @@
     }
 }
 
-void prompt_quarantine::take(const std::string& source, std::vector<part_evidence> evidence,
+void prompt_quarantine::take(const std::string& source, const std::vector<part_evidence>& evidence,
                              time_point now)
 {
     if (evidence.empty()) {
@@ -218,8 +217,9 @@
         if (item.crashes.size() < settings_.suspicious_crashes) {
             continue;
         }
-        const time_point latest = std::ranges::max(item.crashes | std::views::values);
-        const duration wait = latest + settling_time() - now;
+        const auto latest = std::ranges::max_element(
+            item.crashes, std::less{}, [](const auto& crash) { return crash.second; });
+        const duration wait = latest->second + settling_time() - now;
         if (wait > duration{0} && (!out || wait > *out)) {
             out = wait;
         }
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -118,7 +118,8 @@
     void set_report_delay(duration delay) { report_delay_ = delay; }
 
     /// Replaces the evidence that another VM or failure domain has reported.
-    void take(const std::string& source, std::vector<part_evidence> evidence, time_point now);
+    void take(const std::string& source, const std::vector<part_evidence>& evidence,
+              time_point now);
     /// Applies a quarantine that another VM imposed or that was read from the store.
     void adopt(const quarantined_part& imposed, time_point now);
     /// Evidence of this VM, or of this VM and the given sources.
