--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -384,6 +384,13 @@
     return out;
 }
 
+double store_standin::last_read(const std::string& topic) const
+{
+    const std::lock_guard lock{mutex_};
+    const auto it = last_reads_.find(topic);
+    return it == last_reads_.end() ? 0 : it->second;
+}
+
 bool store_standin::serve(int socket, const message& request)
 {
     unsigned status = 200;
@@ -394,7 +401,6 @@
         body = append(request, status);
     }
     else if (target.starts_with("/log-read")) {
-        ++reads_;
         body = read(request, status);
     }
     else if (target.starts_with("/log-newest")) {
@@ -451,6 +457,7 @@
     const std::size_t limit = (most.empty() ? read_limit_kb : std::stoull(most)) * kilobyte;
     const auto wait = millis{std::stoll("0" + query_value(target, "waitMs"))};
     std::unique_lock lock{mutex_};
+    last_reads_[topic] = now_ms();
     changed_.wait_for(lock, wait, [&] { return topics_[topic].size() > from; });
     const auto& records = topics_[topic];
     std::string out = big_endian(records.size(), 8) + big_endian(0, 8);
--- a/review/harness/harness.hh
+++ b/review/harness/harness.hh
@@ -107,7 +107,8 @@
     double put(const std::string& topic, const std::string& key, const std::string& value);
     /// Newest value of a key; empty if there is none.
     [[nodiscard]] std::string value(const std::string& topic, const std::string& key) const;
-    [[nodiscard]] std::size_t reads() const { return reads_; }
+    /// Time of the last read of a topic by a VM; 0 before the first.
+    [[nodiscard]] double last_read(const std::string& topic) const;
 
 private:
     struct record_entry {
@@ -123,7 +124,7 @@
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::string, std::vector<record_entry>> topics_;
-    std::atomic<std::size_t> reads_{0};
+    std::map<std::string, double> last_reads_;
     std::unique_ptr<server> server_;
 };
 
