--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -740,6 +741,8 @@
     argv.push_back(nullptr);
     pid_ = ::fork();
     if (pid_ == 0) {
+        // Also when this program ends without its destructors.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int out = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(out, STDOUT_FILENO);
         ::dup2(out, STDERR_FILENO);
