--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -16,6 +16,7 @@
 constexpr int storm_gap_ms = 60;   // config_storm, gap_s = 0.06
 constexpr int storm_changes = 25;  // config_storm, for_s = 1.5
 constexpr int storms = 2;
+constexpr double storm_pause_ms = 1000;
 constexpr double observed_ms = 14'000;
 const std::string withdrawn_key = "withdrawnkey00000001";
 const std::string other_key = "otherkey000000000002";
@@ -114,6 +115,10 @@
         sleep_ms(2000);
         double next = now_ms();
         for (int i = 0; i < storms * storm_changes; ++i) {
+            if (i > 0 && i % storm_changes == 0) {
+                next += storm_pause_ms;
+                sleep_ms(next - now_ms());
+            }
             current.idle_ms = 15'000 + i;
             write();
             next += storm_gap_ms;
