Ask one predicate whether a request may run again, also for a larger model

Cause: proxy_core::escalate checked sends, budget and key, not whether the route lets its requests run again. Failures and stalls had copies of these conditions, which did.

Change: proxy_core::may_run_again decides for all three. A request that may run only once goes to the largest model that can answer in time, since it cannot escalate. serve asks `idempotent` for escalation, retries and hedges: not affected.

With the lines of this change taken out, request_flow_test.answer_of_low_confidence_is_delivered_when_its_request_may_run_only_once and request_that_may_run_only_once_is_not_sent_to_the_smallest_model fail; with them they pass.

--- a/src/proxy/model_cascade.cpp
+++ b/src/proxy/model_cascade.cpp
@@ -16,9 +16,10 @@
 
 model_cascade::model_cascade(model_cascade_settings settings) : settings_{settings} {}
 
-std::size_t model_cascade::first(std::size_t count, const estimate& expected, duration target) const
+std::size_t model_cascade::first(std::size_t count, const estimate& expected, duration target,
+                                 bool may_escalate) const
 {
-    if (settings_.start_small) {
+    if (settings_.start_small && may_escalate) {
         return 0;
     }
     const duration limit = scale(target, settings_.first_token_share);
--- a/src/proxy/model_cascade.hpp
+++ b/src/proxy/model_cascade.hpp
@@ -11,7 +11,7 @@
 // time.
 //
 //   model_cascade cascade{settings};
-//   std::size_t first = cascade.first(count, expected, target);
+//   std::size_t first = cascade.first(count, expected, target, may_escalate);
 //   auto next = cascade.next(count, first, confidence, expected, time_left);
 
 namespace wagtailhitch {
@@ -33,9 +33,10 @@
 
     explicit model_cascade(model_cascade_settings settings);
 
-    /// Returns the model to ask first. `count`: models of the cascade, at least 1.
-    [[nodiscard]] std::size_t first(std::size_t count, const estimate& expected,
-                                    duration target) const;
+    /// Returns the model to ask first. `count`: models of the cascade, at least 1. A request that
+    /// may not run again cannot escalate, so it goes to the largest model that can answer in time.
+    [[nodiscard]] std::size_t first(std::size_t count, const estimate& expected, duration target,
+                                    bool may_escalate) const;
     /// Returns the larger model to ask instead, or nothing if the answer is accepted.
     [[nodiscard]] std::optional<std::size_t> next(std::size_t count, std::size_t current,
                                                   double confidence, const estimate& expected,
--- a/src/proxy/model_cascade_test.cpp
+++ b/src/proxy/model_cascade_test.cpp
@@ -19,7 +19,7 @@
 
 TEST_F(model_cascade_test, small_model_is_asked_first)
 {
-    EXPECT_EQ(cascade_.first(models, always_fast, 1s), 0U);
+    EXPECT_EQ(cascade_.first(models, always_fast, 1s, true), 0U);
 }
 
 TEST_F(model_cascade_test, confident_answer_is_accepted)
@@ -48,9 +48,16 @@
 {
     const model_cascade large_first{{.start_small = false}};
     const auto loaded = [](std::size_t model) -> duration { return model * 400ms; };
-    EXPECT_EQ(large_first.first(models, loaded, 2s), 2U);
-    EXPECT_EQ(large_first.first(models, loaded, 1s), 1U);
-    EXPECT_EQ(large_first.first(models, loaded, 100ms), 0U);
+    EXPECT_EQ(large_first.first(models, loaded, 2s, true), 2U);
+    EXPECT_EQ(large_first.first(models, loaded, 1s, true), 1U);
+    EXPECT_EQ(large_first.first(models, loaded, 100ms, true), 0U);
+}
+
+TEST_F(model_cascade_test, request_that_may_not_escalate_starts_at_the_largest_that_is_in_time)
+{
+    const auto loaded = [](std::size_t model) -> duration { return model * 400ms; };
+    EXPECT_EQ(cascade_.first(models, loaded, 2s, false), 2U);
+    EXPECT_EQ(cascade_.first(models, loaded, 1s, false), 1U);
 }
 
 } // namespace
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -293,6 +293,14 @@
     return budget_of(admitted.service, now).available(now);
 }
 
+bool proxy_core::may_run_again(const admission& admitted, const send_history& history,
+                               time_point now)
+{
+    const proxy_route& route = *admitted.route;
+    return route.repeatable() && history.sends < route.maximum_sends &&
+           repeats_left(admitted, now) && !check_permission(admitted, now);
+}
+
 retry_decision proxy_core::decide_retry(const admission& admitted, const failed_attempt& failure,
                                         time_point now)
 {
@@ -375,8 +383,7 @@
                                                 const send_history& history, time_point now)
 {
     const proxy_route& route = *admitted.route;
-    if (!placed.model || history.model_fixed || history.sends >= route.maximum_sends ||
-        !repeats_left(admitted, now) || check_permission(admitted, now)) {
+    if (!placed.model || history.model_fixed || !may_run_again(admitted, history, now)) {
         return std::nullopt;
     }
     const duration left = request.received_at + route.target_latency - now;
@@ -418,7 +425,7 @@
     return cascade_.first(
         model_count,
         [&](std::size_t it) { return expected_first_token(admitted, software, request, it, now); },
-        admitted.route->target_latency);
+        admitted.route->target_latency, admitted.route->repeatable());
 }
 
 expected<choice> proxy_core::choose_replica(const admission& admitted,
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -271,6 +271,10 @@
                                                       const send_history& history, time_point now);
     void spend_repeat(const admission& admitted, time_point now);
     [[nodiscard]] bool repeats_left(const admission& admitted, time_point now);
+    /// Whether a request that may have run may be sent once more: its route and the budget allow
+    /// it, and its key is still known to be valid.
+    [[nodiscard]] bool may_run_again(const admission& admitted, const send_history& history,
+                                     time_point now);
 
     // ---- state
     [[nodiscard]] readiness ready(time_point now) const;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -219,11 +219,8 @@
     }
     const attempt_failure failure{error_code::upstream_failed, run_state::ran,
                                   "The replica failed the request."};
-    const bool can_retry =
-        admitted_->route->repeatable() && history_.sends < admitted_->route->maximum_sends &&
-        core_.repeats_left(*admitted_, now) && !core_.check_permission(*admitted_, now);
     // The request cannot be sent again, so the caller gets the replica's own error response.
-    if (!can_retry && !response_started_) {
+    if (!core_.may_run_again(*admitted_, history_, now) && !response_started_) {
         return relay_step{};
     }
     return on_failure(failure, now);
@@ -438,10 +435,7 @@
 
 std::optional<flow_step> request_flow::on_stall(time_point now)
 {
-    const proxy_route& route = *admitted_->route;
-    if (!placed_ || !route.repeatable() || !last_event_id_ ||
-        history_.sends >= route.maximum_sends || !core_.repeats_left(*admitted_, now) ||
-        core_.check_permission(*admitted_, now)) {
+    if (!placed_ || !last_event_id_ || !core_.may_run_again(*admitted_, history_, now)) {
         return std::nullopt;
     }
     return on_failure({error_code::stream_broken, run_state::ran,
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -283,6 +283,33 @@
     EXPECT_TRUE(relays()) << "No larger model is left.";
 }
 
+// Guards against running a stream that may not be resumed once more with a larger model.
+TEST_F(request_flow_test, answer_of_low_confidence_is_delivered_when_its_request_may_run_only_once)
+{
+    auto contents = testing_proxy::make_contents(2);
+    contents.routes[0].resumable = false;
+    deployment_.core.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
+    for (const double confidence : {0.0, 0.1, 0.9}) {
+        start("/report/1");
+        ASSERT_TRUE(sends());
+        response_head head = answered;
+        head.confidence = confidence;
+        step_ = flow_->on_head(head, now());
+        EXPECT_TRUE(relays()) << "confidence " << confidence;
+        EXPECT_EQ(flow_->sends(), 1U);
+    }
+}
+
+TEST_F(request_flow_test, request_that_may_run_only_once_is_not_sent_to_the_smallest_model)
+{
+    auto contents = testing_proxy::make_contents(2);
+    contents.routes[0].resumable = false;
+    deployment_.core.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
+    start("/report/1");
+    ASSERT_TRUE(sends());
+    EXPECT_EQ(std::get<send_step>(step_).model, "large");
+}
+
 // A key that may have been revoked meanwhile sends nothing further, but what is ready is delivered.
 TEST_F(request_flow_test, ready_answer_is_delivered_when_its_key_is_no_longer_confirmed)
 {
