Believe that a request has not run at another replica only if that replica says so

Such an answer now counts as unknown unless it is a refusal.

Evidence: request_flow_test.unsigned_answer_of_another_replica_promises_nothing fails without the change.

--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -193,6 +193,11 @@
     if (!head.answered_by.empty() && placed_ && head.answered_by != placed_->upstream.value &&
         !head.signed_response) {
         core_.note_address_reused(placed_->upstream, now);
+        if (!head.not_run) {
+            return on_failure({error_code::upstream_failed, run_state::outcome_unknown,
+                               "An unsigned response came from another replica."},
+                              now);
+        }
         // The intended replica has not received the request.
         --history_.sends;
         return on_replica_refusal({error_code::upstream_refused, run_state::not_run,
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -188,6 +188,17 @@
     EXPECT_NE(replica(), first);
 }
 
+// Guards against sending a request again that the other replica may have run.
+TEST_F(request_flow_test, unsigned_answer_of_another_replica_promises_nothing)
+{
+    response_head head = answered;
+    head.signed_response = false;
+    head.answered_by = "another";
+    start("/publish/1");
+    step_ = flow_->on_head(head, now());
+    EXPECT_EQ(status(), 502U);
+}
+
 TEST_F(request_flow_test, replica_whose_address_was_reused_gets_no_more_requests)
 {
     std::set<std::string> asked;
