Bound the memory of all answers and waiting bytes together

One answer is bounded (4 MiB, events 256 KiB); the sum was not. Bytes that wait for slow callers (8 MiB each) are the same class.

A buffer may hold an eighth of what is free and always 8 KiB; beyond that its attempt fails, or a caller that is behind is closed. Answers that are complete are written.

--- a/src/net/proxy/proxied_connection.cpp
+++ b/src/net/proxy/proxied_connection.cpp
@@ -22,6 +22,9 @@
 /// sent a request that is on its way.
 constexpr duration first_request_wait = 500ms;
 
+/// A write buffer that had to grow beyond this is freed after the write.
+constexpr std::size_t kept_capacity = std::size_t{64} * 1024;
+
 std::string_view to_std(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -45,7 +48,8 @@
 } // namespace
 
 proxied_connection::proxied_connection(proxy_server::state& owner, tcp_socket socket)
-    : owner_{owner}, socket_{std::move(socket)}, opened_at_{owner.context.clock()}
+    : owner_{owner}, socket_{std::move(socket)},
+      opened_at_{owner.context.clock()}, backlog_{owner.context.buffers}
 {
 }
 
@@ -270,8 +274,11 @@
     if (closed_) {
         return;
     }
+    const bool caller_is_behind = writing_;
     pending_ += bytes;
-    if (pending_.size() > owner_.settings.write_backlog) {
+    backlog_.set(pending_.size() + in_flight_.size());
+    if (pending_.size() > owner_.settings.write_backlog ||
+        (caller_is_behind && backlog_.exceeds_share())) {
         owner_.context.counters.count("proxied_callers_slow_total").add();
         close();
         return;
@@ -300,7 +307,14 @@
 void proxied_connection::on_written(boost_error ec)
 {
     writing_ = false;
+    if (closed_) {
+        return;
+    }
     in_flight_.clear();
+    if (in_flight_.capacity() > kept_capacity) {
+        in_flight_ = {};
+    }
+    backlog_.set(pending_.size());
     if (ec) {
         close();
         return;
@@ -354,6 +368,7 @@
         return;
     }
     closed_ = true;
+    backlog_.set(0);
     const auto self = shared_from_this();
     owner_.context.deadlines.cancel(deadline_);
     if (exchange_) {
--- a/src/net/proxy/proxied_connection.hpp
+++ b/src/net/proxy/proxied_connection.hpp
@@ -86,6 +86,7 @@
     std::shared_ptr<proxied_exchange> exchange_;
     std::string pending_;
     std::string in_flight_;
+    buffered_bytes backlog_; ///< bytes of the two
     deadline_queue::handle deadline_{};
     bool reading_{false};
     bool writing_{false};
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -79,7 +79,7 @@
                                         request.received_at = context.clock();
                                         return request;
                                     }()},
-      events_{event_limit}
+      events_{event_limit}, buffered_{context.buffers}
 {
 }
 
@@ -116,11 +116,18 @@
     std::visit([this](auto& it) { perform_step(it); }, step);
 }
 
+void proxied_exchange::drop_buffered()
+{
+    relay_mode_ = relay_mode::none;
+    buffered_body_ = {};
+    events_ = event_splitter{event_limit};
+    buffered_.set(0);
+}
+
 void proxied_exchange::perform_step(const wait_step& step)
 {
     cancel_call();
-    relay_mode_ = relay_mode::none;
-    buffered_body_.clear();
+    drop_buffered();
     if (!std::exchange(has_waited_, true)) {
         context_.counters.count("proxied_requests_waited_total").add();
         context_.log.write("request_waits", {{"id", flow_.request().id}, {"reason", step.reason}});
@@ -135,9 +142,7 @@
 void proxied_exchange::perform_step(send_step& step)
 {
     cancel_call();
-    relay_mode_ = relay_mode::none;
-    buffered_body_.clear();
-    events_ = event_splitter{event_limit};
+    drop_buffered();
     last_replica_ = step.placed.upstream.value;
     last_model_ = step.model;
     context_.log.write(
@@ -250,7 +255,9 @@
     const auto keep_alive = shared_from_this();
     if (relay_mode_ == relay_mode::whole) {
         buffered_body_.append(bytes);
-        if (buffered_body_.size() > whole_answer_limit) {
+        buffered_.set(buffered_body_.size());
+        if (buffered_body_.size() > whole_answer_limit || buffered_.exceeds_share()) {
+            context_.counters.count("proxied_answers_too_large_total").add();
             fail_attempt({error_code::upstream_failed, run_state::ran,
                           "The answer exceeds what this VM can buffer."});
         }
@@ -276,7 +283,9 @@
     if (!new_events.empty()) {
         write_events(new_events);
     }
-    if (!within_limit) {
+    buffered_.set(events_.partial_bytes());
+    if (!within_limit || buffered_.exceeds_share()) {
+        context_.counters.count("proxied_answers_too_large_total").add();
         fail_attempt({error_code::stream_broken, run_state::ran, "An event exceeds the limit."});
     }
 }
@@ -284,12 +293,12 @@
 void proxied_exchange::write_events(std::string_view events)
 {
     if (!head_written_) {
-        write_head(std::nullopt);
+        sink_.write(make_head(std::nullopt));
     }
     sink_.write(framing_.chunked ? chunk_of(events) : events);
 }
 
-void proxied_exchange::write_head(std::optional<std::size_t> length)
+std::string proxied_exchange::make_head(std::optional<std::size_t> length)
 {
     head_written_ = true;
     first_byte_at_ = context_.clock();
@@ -313,7 +322,7 @@
         append_header(out, "Connection", "close");
     }
     out += "\r\n";
-    sink_.write(out);
+    return out;
 }
 
 void proxied_exchange::on_end(const detail::call_failure* failure)
@@ -360,17 +369,19 @@
     flow_.on_end(context_.clock());
     if (relay_mode_ == relay_mode::stream) {
         if (!head_written_) {
-            write_head(std::nullopt);
+            sink_.write(make_head(std::nullopt));
         }
         if (framing_.chunked) {
             sink_.write("0\r\n\r\n");
         }
     }
     else {
-        write_head(buffered_body_.size());
+        std::string out = make_head(buffered_body_.size());
         if (!framing_.head_only) {
-            sink_.write(buffered_body_);
+            out += buffered_body_;
         }
+        drop_buffered();
+        sink_.write(out);
     }
     log_finished(answer_.status, "answered", {});
     end();
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -5,6 +5,7 @@
 #include "net/http_client.hpp"
 #include "net/proxy/deadline_queue.hpp"
 #include "net/proxy/dialect.hpp"
+#include "proxy/buffer_budget.hpp"
 #include "proxy/event_splitter.hpp"
 #include "proxy/request_flow.hpp"
 
@@ -28,6 +29,7 @@
     event_log& log;
     metrics& counters;
     clock_source clock;
+    buffer_budget& buffers; ///< answers and bytes that wait for callers
 };
 
 /// Writes an answer to the caller. `finish` and `abort` end the exchange.
@@ -71,8 +73,9 @@
     void on_data(std::string_view bytes);
     void on_end(const detail::call_failure* failure);
     void relay_events(std::string_view bytes);
+    void drop_buffered();
     void fail_attempt(const attempt_failure& failure);
-    void write_head(std::optional<std::size_t> length);
+    [[nodiscard]] std::string make_head(std::optional<std::size_t> length);
     void write_events(std::string_view events);
     void finish_answer();
     void on_deadline();
@@ -103,6 +106,7 @@
     bool ends_at_close_{false}; ///< the end of the connection ends the answer
     std::string buffered_body_;
     event_splitter events_;
+    buffered_bytes buffered_; ///< of the body or of an incomplete event
     std::optional<time_point> first_byte_at_;
     bool has_deadline_{false};
     bool has_waited_{false}; ///< before the first attempt
--- a/src/net/proxy/proxy_server_test.cpp
+++ b/src/net/proxy/proxy_server_test.cpp
@@ -159,7 +159,9 @@
     detail::http_client upstreams_{io_, {}};
     proxy_dialect dialect_{test_dialect()};
     proxy_core core_{testing_proxy::make_settings(), counters_, clock_()};
-    proxy_context context_{io_, core_, upstreams_, deadlines_, dialect_, log_, counters_, clock_};
+    buffer_budget buffers_{std::size_t{32} * 1024 * 1024};
+    proxy_context context_{io_,  core_,     upstreams_, deadlines_, dialect_,
+                           log_, counters_, clock_,     buffers_};
     proxy_server server_{context_, {.address = "127.0.0.1:0", .page = {}}};
     scripted_connection_ptr caller_;
     std::map<const void*, std::size_t> returned_requests_;
--- a/src/proxy/event_splitter.hpp
+++ b/src/proxy/event_splitter.hpp
@@ -30,6 +30,8 @@
                             const std::function<void(const stream_event&)>& on_event);
     /// True when the bytes so far end within an event, before its terminating blank line.
     [[nodiscard]] bool has_partial_event() const { return !partial_event_.empty(); }
+    /// Bytes held of the event that is not complete yet.
+    [[nodiscard]] std::size_t partial_bytes() const { return partial_event_.size(); }
 
 private:
     std::size_t event_limit_;
--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -75,6 +75,19 @@
     }
 }
 
+std::size_t child_process::peak_memory() const
+{
+    std::ifstream status{"/proc/" + std::to_string(pid_) + "/status"};
+    std::size_t kilobytes = 0;
+    for (std::string field; status >> field;) {
+        if (field == "VmHWM:") {
+            status >> kilobytes;
+            break;
+        }
+    }
+    return kilobytes * 1024;
+}
+
 bool child_process::ended()
 {
     int status = 0;
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <filesystem>
 #include <optional>
@@ -45,6 +46,8 @@
     child_process& operator=(const child_process&) = delete;
 
     void send_signal(int number) const;
+    /// Most memory that the process has used so far, in bytes; 0 when it is not known.
+    [[nodiscard]] std::size_t peak_memory() const;
     /// Whether the process has ended by itself or by a signal.
     [[nodiscard]] bool ended();
     /// Returns the exit code, or minus the number of the signal that ended the process.
