--- a/src/net/proxy/proxied_connection.cpp
+++ b/src/net/proxy/proxied_connection.cpp
@@ -362,6 +362,13 @@
     socket_.cancel(ignored);
 }
 
+void proxied_connection::end_request()
+{
+    if (const auto current = exchange_) {
+        current->on_stop();
+    }
+}
+
 void proxied_connection::close()
 {
     if (closed_) {
--- a/src/net/proxy/proxied_connection.hpp
+++ b/src/net/proxy/proxied_connection.hpp
@@ -48,6 +48,8 @@
     void close();
     /// Closes at once when no answer is due and no request is arriving, else after the answer.
     void close_when_idle();
+    /// Ends the request in progress with the answer that is possible now.
+    void end_request();
     /// True while a part of a request has arrived, also if it has not been read yet, or while the
     /// first request of a new connection may be on its way.
     [[nodiscard]] bool receiving() const;
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -438,6 +438,13 @@
     }
 }
 
+void proxied_exchange::on_stop()
+{
+    if (!ended_) {
+        perform(flow_.on_stop(context_.clock()));
+    }
+}
+
 // One timer a stream is enough: it is set again for the rest of the time when an event arrived.
 void proxied_exchange::watch_for_stall()
 {
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -58,6 +58,8 @@
     void start();
     /// The caller closed its connection; the replica's work is cancelled.
     void on_caller_gone();
+    /// The VM ends: answers now, or breaks off an answer that has begun.
+    void on_stop();
 
 private:
     enum class relay_mode { none, stream, whole };
--- a/src/net/proxy/proxy_server.cpp
+++ b/src/net/proxy/proxy_server.cpp
@@ -104,6 +104,14 @@
     }
 }
 
+void proxy_server::end_requests()
+{
+    const auto all = state_->connections;
+    for (const auto& it : all) {
+        it->end_request();
+    }
+}
+
 bool proxy_server::answering() const
 {
     return std::ranges::any_of(state_->connections, [](const auto& it) { return it->answering(); });
--- a/src/net/proxy/proxy_server.hpp
+++ b/src/net/proxy/proxy_server.hpp
@@ -57,6 +57,8 @@
     void ignore_new_connections();
     /// Accepts the connections that wait and no further ones.
     void stop_accepting();
+    /// Ends all requests in progress with the answers that are possible now.
+    void end_requests();
     /// Whether a request is being answered by a replica, or waits for one.
     [[nodiscard]] bool answering() const;
     /// Whether no answer is pending and no request is arriving.
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -141,7 +141,8 @@
     out.affinity_hash = hash64(request.session.empty() ? request.id : request.session);
     out.service = pick_service(*route, out.affinity_hash);
     const duration left = request.deadline.value_or(route->timeout);
-    out.answer_deadline = request.received_at + std::min(left, route->timeout);
+    out.answer_deadline =
+        std::min(request.received_at + std::min(left, route->timeout), last_answer_at_);
     return out;
 }
 
@@ -559,9 +560,10 @@
     }
 }
 
-void proxy_core::begin_stop()
+void proxy_core::begin_stop(time_point last_answer_at)
 {
     stopping_ = true;
+    last_answer_at_ = last_answer_at;
     bills_.begin_stop();
 }
 
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -197,8 +197,9 @@
     [[nodiscard]] bool sends_domain_digest(time_point now) const;
     /// Does the periodic work; returns the roll-out states that this VM should publish now.
     std::vector<rollout_publication> tick(time_point now);
-    /// Makes ready() report that the VM is shutting down.
-    void begin_stop();
+    /// Makes ready() report that the VM is shutting down. Answers to requests that are admitted
+    /// from now on are due at `last_answer_at` at the latest.
+    void begin_stop(time_point last_answer_at);
     /// Refuses new requests, so that those in progress can end.
     void refuse_new_requests() { refuses_new_requests_ = true; }
 
@@ -366,6 +367,7 @@
     std::array<followed_stream_state, 2> streams_{}; ///< indexed by followed_stream
     reading_schedule schedule_;
     bool stopping_{false};
+    time_point last_answer_at_{time_point::max()}; ///< set while stopping
     bool refuses_new_requests_{false};
     replica_directory directory_;
     replica_pool pool_;
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -104,7 +104,7 @@
 
 TEST_F(proxy_core_test, stopping_vm_is_not_ready_and_refuses_new_requests_when_told)
 {
-    deployment_.core.begin_stop();
+    deployment_.core.begin_stop(time_point::max());
     EXPECT_FALSE(deployment_.core.ready(deployment_.clock.now()).ready);
     EXPECT_TRUE(deployment_.core.admit(deployment_.request("/report/1"), deployment_.clock.now())
                     .has_value());
@@ -112,6 +112,15 @@
     EXPECT_EQ(refusal(deployment_.request("/report/1")), error_code::shutting_down);
 }
 
+TEST_F(proxy_core_test, answer_to_a_request_that_comes_during_a_stop_is_due_before_its_end)
+{
+    const time_point now = deployment_.clock.now();
+    deployment_.core.begin_stop(now + 3s);
+    const auto admitted = deployment_.core.admit(deployment_.request("/report/1"), now);
+    ASSERT_TRUE(admitted.has_value());
+    EXPECT_EQ(admitted->answer_deadline, now + 3s);
+}
+
 TEST_F(proxy_core_test, replica_of_the_own_region_is_preferred)
 {
     for (int i = 0; i < 20; ++i) {
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -477,15 +477,35 @@
     bill_request(bill_outcome::cancelled, now);
 }
 
-flow_step request_flow::on_deadline(time_point now)
+void request_flow::abandon_attempt(attempt_result result, time_point now)
 {
     if (placed_ && run_ == run_state::not_run) {
         run_ = run_state::outcome_unknown;
     }
+    end_attempt(result, now);
+}
+
+flow_step request_flow::on_stop(time_point now)
+{
+    abandon_attempt(attempt_result::cancelled, now);
+    error reason{error_code::shutting_down,
+                 step::shutdown,
+                 {},
+                 run_,
+                 "The VM has shut down before the response was complete.",
+                 {}};
+    if (run_ == run_state::not_run) {
+        reason.retry_after = refused_retry_after;
+    }
+    return give_up(reason, now);
+}
+
+flow_step request_flow::on_deadline(time_point now)
+{
     if (placed_ && !head_seen_) {
         core_.note_answer(*admitted_, *placed_, {.slow = true});
     }
-    end_attempt(head_seen_ ? attempt_result::cancelled : attempt_result::failed, now);
+    abandon_attempt(head_seen_ ? attempt_result::cancelled : attempt_result::failed, now);
     return give_up(error{error_code::upstream_timeout,
                          step::dispatch,
                          {},
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -107,6 +107,8 @@
     void on_caller_gone(time_point now);
     /// answer_deadline() has passed.
     flow_step on_deadline(time_point now);
+    /// The VM ends and cannot wait for the answer.
+    flow_step on_stop(time_point now);
     /// Whether the request of the last send_step may still be written to its replica. False when
     /// the VM was suspended or delayed since: the key may have been revoked or the replica removed
     /// meanwhile, and the time left is no longer true. False, too, when a part of its prompt was
@@ -136,6 +138,8 @@
 private:
     flow_step place(duration pause, time_point now);
     flow_step give_up(const error& reason, time_point now);
+    /// Ends the current attempt, which may run on, before the final response.
+    void abandon_attempt(attempt_result result, time_point now);
     /// Applies what the answer's head says about the replica itself.
     void note_replica_signals(const response_head& head, time_point now);
     flow_step retry(const attempt_failure& failure, time_point now);
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -370,6 +370,19 @@
     EXPECT_EQ(status(), 504U) << "The replica may have run the request.";
 }
 
+TEST_F(request_flow_test, request_in_progress_when_the_vm_ends_is_answered_by_what_is_known_of_it)
+{
+    start("/publish/1");
+    step_ = flow_->on_stop(now());
+    EXPECT_EQ(status(), 502U) << "The replica may run it.";
+    start("/report/1");
+    step_ = flow_->on_head(answered, now());
+    flow_->on_event(1, now());
+    step_ = flow_->on_stop(now());
+    EXPECT_TRUE(std::holds_alternative<abort_step>(step_))
+        << "A stream that is not complete must not look so.";
+}
+
 TEST_F(request_flow_test, answered_request_has_one_bill_with_a_line_for_each_model_that_ran)
 {
     start("/report/1");
@@ -522,6 +535,16 @@
     EXPECT_TRUE(refusal->reason.retry_after.has_value());
 }
 
+TEST_F(starting_vm_test, request_that_waits_when_the_vm_ends_is_refused_as_not_run)
+{
+    ASSERT_TRUE(std::holds_alternative<wait_step>(flow_.begin(clock_.now())));
+    const auto step = flow_.on_stop(clock_.now());
+    const auto* refusal = std::get_if<respond_step>(&step);
+    ASSERT_NE(refusal, nullptr);
+    EXPECT_EQ(refusal->status, 503U);
+    EXPECT_TRUE(refusal->reason.retry_after.has_value());
+}
+
 TEST_F(starting_vm_test, request_whose_deadline_passes_meanwhile_is_refused_and_sent_to_nobody)
 {
     proxied_request urgent = flow_.request();
@@ -541,7 +564,7 @@
 
 TEST_F(starting_vm_test, stopping_vm_refuses_requests_without_a_wait)
 {
-    core_.begin_stop();
+    core_.begin_stop(time_point::max());
     EXPECT_TRUE(std::holds_alternative<respond_step>(flow_.begin(clock_.now())));
 }
 
