Continue a stream only by an answer of the same content type

Another operator's report: a stream breaks, the next replica answers with an error, and its text appears in the stream or the stream ends as if complete. Ruled out by tests for answers with another status, refusals, answers of other requests and bytes without a head. Shown for pages with status 200: their blocks passed as events, and an empty one ended the stream.

Change: a continuation must also have the content type of the answer that it continues; otherwise its attempt has failed.

Evidence: replica/bad_continuation_test.* (page_with_status_200 and empty_page_with_status_200 fail without the change) and request_flow_test.answer_of_another_content_type_does_not_continue_a_stream.

--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -6,7 +6,9 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
 #include <array>
+#include <cctype>
 #include <cstdio>
 #include <utility>
 
@@ -57,6 +59,15 @@
     return out;
 }
 
+/// The type of a Content-Type value without its parameters, in lower case.
+std::string media_type(std::string_view content_type)
+{
+    std::string out{content_type.substr(0, content_type.find(';'))};
+    out.erase(out.find_last_not_of(" \t") + 1);
+    std::ranges::transform(out, out.begin(), [](unsigned char c) { return std::tolower(c); });
+    return out;
+}
+
 std::string chunk_of(std::string_view bytes)
 {
     std::array<char, 20> size{};
@@ -228,6 +239,8 @@
     head_info.on_reused_connection = head.on_reused_connection;
     last_confidence_ = head_info.confidence.value_or(-1);
     const bool begun = flow_.response_started();
+    head_info.other_content_type =
+        begun && media_type(head.content_type) != media_type(answer_.content_type);
     if (!begun) {
         answer_ = std::move(head);
     }
--- a/src/net/proxy/proxy_server_test.cpp
+++ b/src/net/proxy/proxy_server_test.cpp
@@ -168,6 +168,9 @@
 };
 
 const std::string small_answer = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok";
+const std::string event_stream_head =
+    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n";
 const std::string stream_head = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 std::string chunk(const std::string& text)
@@ -276,6 +279,64 @@
     EXPECT_EQ(count_of(caller_->received, "200 OK"), 1U);
 }
 
+/// What a replica answers when a broken stream should go on at it.
+struct bad_continuation {
+    const char* name;
+    std::string answer;
+    bool closes{false}; ///< the connection ends with the answer
+};
+
+class bad_continuation_test : public proxy_server_test,
+                              public testing::WithParamInterface<bad_continuation> {};
+
+// Guards against error pages, or whole answers with their heads, in the middle of a stream, and
+// against streams that look complete after an error.
+TEST_P(bad_continuation_test, reaches_no_caller_and_the_stream_does_not_look_complete)
+{
+    post("/report/x", "p");
+    const auto first = wait_for_request(1);
+    first->write(event_stream_head + chunk("id: 1\ndata: a\n\n"));
+    ASSERT_TRUE(wait_for_caller_text("data: a"));
+    first->close();
+    const auto second = wait_for_request(2);
+    second->write(GetParam().answer);
+    if (GetParam().closes) {
+        second->close();
+    }
+    ASSERT_TRUE(pump_until([&] { return caller_->closed; })) << caller_->received;
+    EXPECT_EQ(caller_->received.find("Oops"), std::string::npos) << caller_->received;
+    EXPECT_EQ(count_of(caller_->received, "HTTP/1.1"), 1U) << caller_->received;
+    EXPECT_EQ(caller_->received.find("0\r\n\r\n"), std::string::npos) << caller_->received;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    replica, bad_continuation_test,
+    testing::Values(
+        bad_continuation{"error_with_a_length",
+                         "HTTP/1.1 500 Oops\r\nX-Id: 1\r\nContent-Length: 6\r\n\r\nOops\n\n"},
+        bad_continuation{"error_in_chunks",
+                         "HTTP/1.1 503 Oops\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                             chunk("Oops\n\n") + "0\r\n\r\n"},
+        bad_continuation{"error_that_ends_with_the_connection",
+                         "HTTP/1.1 404 Oops\r\nX-Id: 1\r\n\r\nOops\n\n", true},
+        bad_continuation{"error_as_an_event_stream",
+                         "HTTP/1.1 500 Oops\r\nX-Id: 1\r\nContent-Type: text/event-stream\r\n"
+                         "Content-Length: 13\r\n\r\ndata: Oops\n\n\n"},
+        bad_continuation{"refusal", "HTTP/1.1 503 Oops\r\nX-Id: 1\r\nX-Not-Run: 1\r\n"
+                                    "Content-Length: 6\r\n\r\nOops\n\n"},
+        bad_continuation{"page_with_status_200",
+                         "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Type: text/html\r\n"
+                         "Content-Length: 6\r\n\r\nOops\n\n"},
+        bad_continuation{"empty_page_with_status_200",
+                         "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Type: text/plain\r\n"
+                         "Content-Length: 0\r\n\r\n"},
+        bad_continuation{"no_content", "HTTP/1.1 204 Oops\r\nX-Id: 1\r\n\r\n"},
+        bad_continuation{"bytes_without_a_head", "Oops\n\nOops\n\n", true},
+        bad_continuation{"answer_of_another_request",
+                         "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Type: text/event-stream\r\n"
+                         "Content-Length: 12\r\n\r\ndata: Oops\n\n"}),
+    [](const auto& item) { return std::string{item.param.name}; });
+
 TEST_F(proxy_server_test, stream_that_cannot_go_on_does_not_look_complete)
 {
     post("/report/x", "p");
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -215,8 +215,10 @@
                           now);
     }
     run_ = run_state::ran;
-    // A stream that has begun can only be continued by more events, so only by status 200.
-    failing_ = head.status >= 500 || (response_started_ && head.status != 200);
+    // A stream that has begun can only be continued by more events. Servers may send an error page
+    // with status 200.
+    const bool continues = head.status == 200 && !head.other_content_type;
+    failing_ = head.status >= 500 || (response_started_ && !continues);
     if (!failing_) {
         head_at_ = now;
         core_.note_first_token(*placed_, now - sent_at_, now);
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -66,6 +66,7 @@
     bool on_reused_connection{false};  ///< an answer to an earlier request may come late
     bool signed_response{false};       ///< has a valid signature of the replica
     bool not_run{false};               ///< the replica states that it did not run the request
+    bool other_content_type{false};    ///< than the answer that it would continue
     std::string answered_by;           ///< id of the responding replica; empty if not given
     std::optional<double> confidence;  ///< of the model in its answer, 0 to 1
     bool replica_leaving{false};       ///< the replica says that it is about to stop
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -267,6 +267,20 @@
     EXPECT_FALSE(relays()) << "The caller already has part of another response.";
 }
 
+// Guards against passing on an error page, which servers may send with status 200, as events.
+TEST_F(request_flow_test, answer_of_another_content_type_does_not_continue_a_stream)
+{
+    start("/report/1");
+    step_ = flow_->on_head(answered, now());
+    flow_->on_event(1, now());
+    step_ = flow_->on_failure({error_code::stream_broken, run_state::ran, "reset"}, now());
+    ASSERT_TRUE(sends());
+    response_head page = answered;
+    page.other_content_type = true;
+    step_ = flow_->on_head(page, now());
+    EXPECT_FALSE(relays());
+}
+
 // A refusal without an id may be a late copy of an earlier one if the connection has served before.
 TEST_F(request_flow_test, refusal_without_an_id_on_a_reused_connection_promises_nothing)
 {
