Deliver a ready answer to a caller that is behind, and stop when a write has closed its connection

Found in reading the diff: with pipelined requests, an answer that was being written counted against the share of what waits behind it, so that a caller could be closed in the middle of a large answer. And a write that closes a slow caller's connection ended the exchange, after which an event over the limit could still have begun another attempt. Evidence: proxy_server_test.*, platform_node_test.* pass.

--- a/src/net/proxy/proxied_connection.cpp
+++ b/src/net/proxy/proxied_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace wagtailhitch::detail {
@@ -274,11 +275,13 @@
     if (closed_) {
         return;
     }
-    const bool caller_is_behind = writing_;
+    // The first write is exempt from the share: an answer that is ready is delivered.
+    const std::size_t limit =
+        writing_ ? std::min(owner_.settings.write_backlog, owner_.context.buffers.share())
+                 : owner_.settings.write_backlog;
     pending_ += bytes;
     backlog_.set(pending_.size() + in_flight_.size());
-    if (pending_.size() > owner_.settings.write_backlog ||
-        (caller_is_behind && backlog_.exceeds_share())) {
+    if (pending_.size() > limit) {
         owner_.context.counters.count("proxied_callers_slow_total").add();
         close();
         return;
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -296,6 +296,9 @@
     if (!new_events.empty()) {
         write_events(new_events);
     }
+    if (ended_) {
+        return; // The caller's connection was closed by the write.
+    }
     buffered_.set(events_.partial_bytes());
     if (!within_limit || buffered_.exceeds_share()) {
         context_.counters.count("proxied_answers_too_large_total").add();
