Quarantine a request that crashes its replicas itself, with its repeats

Cause: proxy_core::part_keys left out the last part of a prompt, the request's own. Callers send the request again, to any VM, with the same own part; the evidence fell on the shared part before it. Ruled out: a shared part (those with the most lost replicas are in many answers).

Change: own parts count under keys of their own kind. Three runs lost on one, over all VMs, quarantine that request alone; from two on it is not sent on by a retry or a larger model, and a repeat waits while the evidence settles. The choice among shared parts is unchanged. Lines attempt_failed and request_finished have own_part.

With the last part left out, crashing_parts_test.request_that_crashes_replicas_is_stopped_and_its_shared_parts_stay_in_use and request_flow_test.request_under_which_two_replicas_ended_is_not_sent_to_a_third fail.

crashing_parts_test.refusal_names_the_part_* stated that keys leave out the own part; it now states that the own part's key is marked.

--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -59,6 +59,12 @@
     return out;
 }
 
+/// Id of the request's own prompt part, which a repeat of the request has as well.
+std::string own_part_id(const proxied_request& request)
+{
+    return request.parts.empty() ? std::string{} : hex_text(request.parts.back().id);
+}
+
 /// The type of a Content-Type value without its parameters, in lower case.
 std::string media_type(std::string_view content_type)
 {
@@ -536,6 +542,7 @@
                         {"run", name_of(failure.run)},
                         {"detail", failure.detail},
                         {"parts", shared_part_ids(flow_.request())},
+                        {"own_part", own_part_id(flow_.request())},
                         {"events", flow_.attempt_events()},
                         {"after_ms", to_milliseconds(context_.clock() - flow_.sent_at())}});
 }
@@ -592,6 +599,7 @@
          {"sends", flow_.sends()},
          {"detail", detail},
          {"parts", shared_part_ids(flow_.request())},
+         {"own_part", own_part_id(flow_.request())},
          {"took_ms", to_milliseconds(took)},
          {"first_ms",
           first_byte_at_ ? to_milliseconds(*first_byte_at_ - flow_.request().received_at) : -1},
--- a/src/proxy/crashing_parts_test.cpp
+++ b/src/proxy/crashing_parts_test.cpp
@@ -46,7 +46,7 @@
     struct stream {
         const proxy_core* core{nullptr};
         std::unique_ptr<request_flow> flow;
-        std::vector<std::uint64_t> shared_parts;
+        std::vector<std::uint64_t> tracked_parts;
         std::string replica; ///< of the current attempt
         time_point sent_at;
         bool begun{false};
@@ -60,7 +60,9 @@
         int deadly_deliveries{0};
         int sound_quarantined{0}; ///< refused for a part that does not crash replicas
         std::map<std::uint64_t, int> late_deliveries; ///< by part, after its own fifth crash
-        std::map<unsigned, int> refused;              ///< by status
+        /// By part, after its third crash.
+        std::map<std::uint64_t, int> deliveries_after_third_crash;
+        std::map<unsigned, int> refused; ///< by status
     };
 
     void SetUp() override
@@ -142,7 +144,7 @@
 
     [[nodiscard]] bool is_deadly(const stream& it) const
     {
-        return std::ranges::any_of(it.shared_parts,
+        return std::ranges::any_of(it.tracked_parts,
                                    [this](auto part) { return deadly_parts_.contains(part); });
     }
 
@@ -157,10 +159,11 @@
                 it.begun = false;
                 const bool late = crashes_.size() >= 5 && now > crashes_[4] + stability;
                 counts_.deadly_deliveries += is_deadly(it) && late ? 1 : 0;
-                for (const auto part : it.shared_parts) {
+                for (const auto part : it.tracked_parts) {
                     const auto& crashes = crashes_by_part_[part];
                     const bool too_late = crashes.size() >= 5 && now > crashes[4] + stability;
                     counts_.late_deliveries[part] += too_late ? 1 : 0;
+                    counts_.deliveries_after_third_crash[part] += crashes.size() >= 3 ? 1 : 0;
                 }
                 return;
             }
@@ -179,7 +182,8 @@
         it.flow.reset();
     }
 
-    void begin(std::vector<std::uint64_t> parts)
+    /// `own`: the request's own part, if its callers repeat the request.
+    void begin(std::vector<std::uint64_t> parts, std::optional<std::uint64_t> own = std::nullopt)
     {
         proxied_request request;
         request.id = std::to_string(++last_request_);
@@ -192,11 +196,14 @@
         for (const auto part : parts) {
             request.parts.push_back({part, 100});
         }
-        request.parts.push_back({1'000'000 + last_request_, 50});
+        request.parts.push_back({own.value_or(1'000'000 + last_request_), 50});
+        if (own) {
+            parts.push_back(*own);
+        }
         auto& node = vms_[generator_() % vms_.size()];
         stream it;
         it.core = node.core.get();
-        it.shared_parts = std::move(parts);
+        it.tracked_parts = std::move(parts);
         (is_deadly(it) ? counts_.deadly : counts_.sound) += 1;
         it.flow = std::make_unique<request_flow>(*node.core, std::move(request));
         streams_.push_back(std::move(it));
@@ -218,7 +225,7 @@
                 counts_.sound_begun_at_first += !is_deadly(it) && it.first_attempt ? 1 : 0;
             }
             if (is_deadly(it)) {
-                for (const auto part : it.shared_parts) {
+                for (const auto part : it.tracked_parts) {
                     crashes_by_part_[part].push_back(now);
                 }
                 crash(it.replica);
@@ -410,6 +417,23 @@
     EXPECT_EQ(counts_.sound_quarantined, 0);
 }
 
+// Guards against running a request again, for any of its callers, under which replicas have ended,
+// and against refusing others for a part that they share with it.
+TEST_F(crashing_parts_test,
+       request_that_crashes_replicas_is_stopped_and_its_shared_parts_stay_in_use)
+{
+    constexpr std::uint64_t subject = 100;
+    for (int i = 0; i < 400; ++i) {
+        if (i % 20 == 0) {
+            begin({common_part, subject}, deadly_part);
+        }
+        run(step, 0);
+    }
+    EXPECT_GE(crashes_.size(), 3U);
+    EXPECT_LE(counts_.deliveries_after_third_crash[deadly_part], 3);
+    EXPECT_EQ(counts_.sound_quarantined, 0);
+}
+
 TEST_F(crashing_parts_test, replicas_that_crash_by_themselves_quarantine_no_part)
 {
     for (int i = 0; i < 12; ++i) {
@@ -446,7 +470,9 @@
     request.received_at = clock_.now();
     request.parts = {{common_part, 10}, {deadly_part, 10}, {5, 10}};
     const auto keys = proxy_core::part_keys(*core.admit(request, clock_.now()), request);
-    ASSERT_EQ(keys.size(), 2U) << "The last part is the request's own.";
+    ASSERT_EQ(keys.size(), 3U);
+    EXPECT_FALSE(is_own_part(keys[1]));
+    EXPECT_TRUE(is_own_part(keys[2])) << "The last part is the request's own.";
     core.quarantine().adopt({keys[1], 60s, 1}, clock_.now());
     request_flow flow{core, request};
     const auto answer = std::get<respond_step>(flow.begin(clock_.now()));
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -161,8 +161,10 @@
 {
     const std::uint64_t service = hash64(admitted.service);
     std::vector<part_key> out;
-    for (std::size_t i = 0; i + 1 < request.parts.size(); ++i) {
-        out.push_back(combine_hashes(service, request.parts[i].id));
+    for (std::size_t i = 0; i < request.parts.size(); ++i) {
+        const std::uint64_t hash = combine_hashes(service, request.parts[i].id);
+        const bool own = i + 1 == request.parts.size();
+        out.push_back(own ? own_part_key(hash) : shared_part_key(hash));
     }
     return out;
 }
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -211,7 +211,7 @@
     /// be valid. Returns the refusal (not_ready, not_run) otherwise.
     [[nodiscard]] std::optional<error> check_permission(const admission& admitted,
                                                         time_point now) const;
-    /// Keys of the request's prompt parts that other requests may share.
+    /// Keys of the request's prompt parts, in prompt order; the last is the request's own.
     [[nodiscard]] static std::vector<part_key> part_keys(const admission& admitted,
                                                          const proxied_request& request);
     /// Returns the refusal (prompt_quarantined, not_run) of a request with a part that crashes
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -253,7 +253,8 @@
 
 flow_step request_flow::accept_or_escalate(const response_head& head, time_point now)
 {
-    if (response_started_ || !head.confidence) {
+    const bool may_crash_replicas = core_.quarantine().is_suspected(parts_);
+    if (response_started_ || !head.confidence || may_crash_replicas) {
         return relay_step{};
     }
     const auto larger_model =
@@ -397,7 +398,7 @@
     if (history_.sends >= route.maximum_sends || (possibly_run && !route.repeatable())) {
         return give_up(reason, now);
     }
-    if (failure.connection_lost && core_.quarantine().is_suspected(parts_)) {
+    if (possibly_run && core_.quarantine().is_suspected(parts_)) {
         reason.detail += " Not sent again: its prompt may crash replicas.";
         return give_up(reason, now);
     }
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -159,7 +159,7 @@
     proxy_core& core_;
     proxied_request request_;
     std::optional<admission> admitted_;
-    std::vector<part_key> parts_;     ///< shared parts of the prompt
+    std::vector<part_key> parts_;     ///< of the prompt; the last is the request's own
     std::optional<placement> placed_; ///< of the current attempt
     send_history history_;
     std::vector<bill_line> bill_lines_; ///< for each attempt that ran
--- a/src/proxy/request_flow_test.cpp
+++ b/src/proxy/request_flow_test.cpp
@@ -124,6 +124,34 @@
     EXPECT_EQ(status(), 502U);
 }
 
+// Guards against crashing a third replica with a larger model or another caller's repeat.
+TEST_F(request_flow_test, request_under_which_two_replicas_ended_is_not_sent_to_a_third)
+{
+    const auto start_request = [this](const std::string& id) {
+        auto request = deployment_.request("/report/1");
+        request.id = id;
+        request.parts = {{66, 10}, {5, 10}};
+        flow_ = std::make_unique<request_flow>(deployment_.core, std::move(request));
+        step_ = flow_->begin(now());
+    };
+    attempt_failure lost = connection_reset;
+    lost.connection_lost = true;
+    start_request("first");
+    step_ = flow_->on_failure(lost, now());
+    ASSERT_TRUE(sends());
+    step_ = flow_->on_failure(lost, now());
+    EXPECT_EQ(status(), 502U);
+    start_request("repeat");
+    EXPECT_TRUE(std::holds_alternative<wait_step>(step_)) << "Other VMs' evidence may be due.";
+    deployment_.clock.advance(2s);
+    step_ = flow_->begin(now());
+    ASSERT_TRUE(sends());
+    response_head low_confidence_head = answered;
+    low_confidence_head.confidence = 0.1;
+    step_ = flow_->on_head(low_confidence_head, now());
+    EXPECT_TRUE(relays()) << "A larger model would be another send.";
+}
+
 TEST_F(request_flow_test, request_waits_while_the_evidence_on_its_part_settles)
 {
     auto request = deployment_.request("/read/1");
--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -32,13 +32,23 @@
         if (const auto it = quarantined_.find(part); it != quarantined_.end()) {
             release(part, it->second.times, now);
         }
-        if (survivals_.contains(part) || survivals_.size() < settings_.tracked_parts) {
+        const bool has_room =
+            survivals_.contains(part) || survivals_.size() < settings_.tracked_parts;
+        // Each request has an own part. Only those of lost requests matter.
+        if (has_room && (!is_own_part(part) || is_known_suspect(part))) {
             survivals_[part] = now;
         }
         suspects_.erase(part);
     }
 }
 
+bool prompt_quarantine::is_known_suspect(part_key part) const
+{
+    return suspects_.contains(part) || std::ranges::any_of(reported_, [part](const auto& source) {
+               return source.second.parts.contains(part);
+           });
+}
+
 void prompt_quarantine::release(part_key part, std::uint32_t times, time_point now)
 {
     changes_.push_back({{part, duration{0}, times, true}, 0});
@@ -80,6 +90,9 @@
 {
     for (std::size_t i = 0; i < parts.size(); ++i) {
         const part_key part = parts[i];
+        if (!suspects_.contains(part) && suspects_.size() >= settings_.tracked_parts) {
+            continue;
+        }
         suspicion& item = suspects_[part];
         item.crashes.emplace(run, lost_at);
         item.depth = std::max(item.depth, static_cast<std::uint32_t>(i));
@@ -129,8 +142,10 @@
     }
     const time_point until = now + std::min(imposed.remaining, settings_.longest_quarantine);
     quarantined_[imposed.part] = {until, imposed.times, {}};
-    last_imposed_ = imposed.part;
-    last_imposed_at_ = now;
+    if (!is_own_part(imposed.part)) {
+        last_imposed_ = imposed.part;
+        last_imposed_at_ = now;
+    }
     changes_.push_back({{imposed.part, until - now, imposed.times}, 0});
 }
 
@@ -141,8 +156,10 @@
     const duration doubled = settings_.first_quarantine * (1LL << doublings);
     const duration length = std::min(doubled, settings_.longest_quarantine);
     quarantined_[part] = {now + length, times, {}};
-    last_imposed_ = part;
-    last_imposed_at_ = now;
+    if (!is_own_part(part)) {
+        last_imposed_ = part;
+        last_imposed_at_ = now;
+    }
     changes_.push_back({{part, length, times}, crashes});
 }
 
@@ -204,17 +221,22 @@
 bool prompt_quarantine::is_suspected(std::span<const part_key> parts) const
 {
     return std::ranges::any_of(parts, [this](part_key part) {
-        return pooled_evidence(part).crashes.size() >= settings_.suspicious_crashes;
+        return pooled_evidence(part).crashes.size() >= suspicious_crashes(part);
     });
 }
 
+std::size_t prompt_quarantine::suspicious_crashes(part_key part) const
+{
+    return is_own_part(part) ? settings_.suspicious_own_crashes : settings_.suspicious_crashes;
+}
+
 std::optional<duration> prompt_quarantine::until_settled(std::span<const part_key> parts,
                                                          time_point now) const
 {
     std::optional<duration> out;
     for (const part_key part : parts) {
         const suspicion item = pooled_evidence(part);
-        if (item.crashes.size() < settings_.suspicious_crashes) {
+        if (item.crashes.size() < suspicious_crashes(part)) {
             continue;
         }
         const auto latest = std::ranges::max_element(
@@ -267,8 +289,9 @@
             survived.push_back(std::move(out));
         }
     }
-    std::ranges::sort(lost, std::greater{},
-                      [](const part_evidence& it) { return it.crashes.size(); });
+    std::ranges::sort(lost, std::greater{}, [](const part_evidence& it) {
+        return std::pair{it.crashes.size(), !is_own_part(it.part)};
+    });
     std::ranges::sort(survived, std::less{},
                       [](const part_evidence& it) { return *it.survival_age; });
     lost.resize(std::min(lost.size(), settings_.reported_suspects));
@@ -304,6 +327,10 @@
     const bool recently_imposed =
         quarantined_.contains(last_imposed_) && now - last_imposed_at_ < settings_.explained_time;
     for (const auto& [part, item] : pooled) {
+        // Another request may have crashed the run as well, because of a part that both share.
+        if (is_own_part(part)) {
+            continue;
+        }
         const bool quarantined = quarantined_.contains(part);
         for (const auto& [run, at] : item.crashes) {
             const bool recent =
@@ -322,7 +349,7 @@
     const duration settling = settling_time();
     std::vector<suspect> out;
     for (const auto& [part, item] : pooled) {
-        if (quarantined_.contains(part)) {
+        if (quarantined_.contains(part) || is_own_part(part)) {
             continue;
         }
         suspect found{part, item.depth, {}, 0};
@@ -400,6 +427,7 @@
     }
     const std::map<part_key, suspicion> pooled = pool();
     note_explained(pooled, now);
+    evaluate_own_parts(pooled, now);
     const std::vector<suspect> all = suspects(pooled, now);
     const bool enough = std::ranges::any_of(all, [this](const suspect& it) {
         return it.weight >= static_cast<double>(settings_.min_crashes);
@@ -416,6 +444,42 @@
     }
 }
 
+// A request is lost by chance beside one that crashes replicas, so that runs count against one
+// request only, the one with the most of them.
+void prompt_quarantine::evaluate_own_parts(const std::map<part_key, suspicion>& pooled,
+                                           time_point now)
+{
+    std::set<replica_run> attributed;
+    std::vector<std::pair<std::size_t, part_key>> lost;
+    for (const auto& [part, item] : pooled) {
+        if (quarantined_.contains(part)) {
+            for (const auto& [run, at] : item.crashes) {
+                attributed.insert(run);
+            }
+        }
+        else if (is_own_part(part) && item.crashes.size() >= settings_.min_own_crashes) {
+            lost.emplace_back(item.crashes.size(), part);
+        }
+    }
+    std::ranges::sort(lost, std::greater{});
+    const duration settling = settling_time();
+    for (const auto& [n, part] : lost) {
+        const auto& crashes = pooled.at(part).crashes;
+        const auto counted = std::ranges::count_if(crashes, [&](const auto& crash) {
+            return now - crash.second >= settling && !attributed.contains(crash.first);
+        });
+        if (counted < static_cast<std::ptrdiff_t>(settings_.min_own_crashes)) {
+            continue;
+        }
+        const auto released = released_.find(part);
+        const std::uint32_t before = released == released_.end() ? 0 : released->second.times;
+        impose(part, before + 1, crashes.size(), now);
+        for (const auto& [run, at] : crashes) {
+            attributed.insert(run);
+        }
+    }
+}
+
 void prompt_quarantine::forget(time_point now)
 {
     const auto outdated = [&](time_point at) { return now - at > settings_.crash_memory; };
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -13,8 +13,9 @@
 #include <vector>
 
 // Finds prompt parts that crash every replica that begins an answer to them, and keeps requests
-// with such a part from the replicas. The VMs pool their evidence; a quarantine that one of them
-// imposes applies to all.
+// with such a part from the replicas. The part may be shared with other requests, or be the
+// request's own, which its caller sends again when it repeats the request. The VMs pool their
+// evidence; a quarantine that one of them imposes applies to all.
 //
 //   prompt_quarantine quarantine{settings};
 //   quarantine.note_survived(parts, now);      // the answer went on past its beginning
@@ -25,8 +26,24 @@
 
 namespace wagtailhitch {
 
-/// Hash of a service and of a prompt part that its requests may share.
+/// Hash of a service and of a prompt part. The highest bit is set in keys of parts that belong to
+/// one request and its repeats.
 using part_key = std::uint64_t;
+constexpr part_key own_part_bit = part_key{1} << 63U;
+
+constexpr part_key shared_part_key(std::uint64_t hash)
+{
+    return hash & ~own_part_bit;
+}
+constexpr part_key own_part_key(std::uint64_t hash)
+{
+    return hash | own_part_bit;
+}
+constexpr bool is_own_part(part_key part)
+{
+    return (part & own_part_bit) != 0;
+}
+
 /// Hash of one run of a replica, from its start to its end.
 using replica_run = std::uint64_t;
 
@@ -36,6 +53,10 @@
     std::size_t min_crashes{4};
     /// Replica runs lost in a row from which on requests with the part are not sent again.
     std::size_t suspicious_crashes{3};
+    /// The same two numbers for a request's own part. Few requests have it, so that it is unlikely
+    /// to be lost several times by chance.
+    std::size_t min_own_crashes{3};
+    std::size_t suspicious_own_crashes{2};
     /// Runs needed if another part has nearly as many; one more for each further such part, up to
     /// `most_crashes`. From then on, parts that the evidence cannot tell apart are all quarantined.
     std::size_t ambiguous_crashes{6};
@@ -186,6 +207,10 @@
         time_point probe_sent{};
     };
 
+    [[nodiscard]] bool is_known_suspect(part_key part) const;
+    [[nodiscard]] std::size_t suspicious_crashes(part_key part) const;
+    /// Imposes the quarantines of requests' own parts.
+    void evaluate_own_parts(const std::map<part_key, suspicion>& pooled, time_point now);
     void blame(std::span<const part_key> parts, replica_run run, time_point lost_at);
     void impose(part_key part, std::uint32_t times, std::size_t crashes, time_point now);
     void release(part_key part, std::uint32_t times, time_point now);
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -51,6 +51,46 @@
     EXPECT_FALSE(holds(common)) << "Answers with it went on.";
 }
 
+TEST_F(prompt_quarantine_test, own_part_of_three_lost_runs_is_quarantined)
+{
+    constexpr part_key own = own_part_key(9);
+    for (replica_run run = 1; run <= 3; ++run) {
+        EXPECT_FALSE(holds(own));
+        EXPECT_EQ(quarantine_.is_suspected(std::vector{own}), run == 3);
+        lose({common, own}, run);
+    }
+    wait(1200ms);
+    EXPECT_TRUE(holds(own));
+    EXPECT_FALSE(holds(common));
+}
+
+TEST_F(prompt_quarantine_test, request_that_is_lost_beside_a_deadly_one_is_not_quarantined)
+{
+    constexpr part_key own = own_part_key(9);
+    constexpr part_key bystander = own_part_key(7);
+    for (replica_run run = 1; run <= 4; ++run) {
+        lose({common, own}, run);
+        if (run > 1) {
+            lose({common, bystander}, run);
+        }
+    }
+    wait(2s);
+    EXPECT_TRUE(holds(own));
+    EXPECT_FALSE(holds(bystander));
+}
+
+TEST_F(prompt_quarantine_test, own_part_of_an_answer_that_goes_on_is_no_suspect)
+{
+    constexpr part_key own = own_part_key(9);
+    lose({common, own}, 1);
+    lose({common, own}, 2);
+    survive({common, own}, 1);
+    lose({common, own}, 3);
+    wait(2s);
+    EXPECT_FALSE(holds(own));
+    EXPECT_FALSE(quarantine_.is_suspected(std::vector{own}));
+}
+
 TEST_F(prompt_quarantine_test, requests_lost_with_one_replica_count_once)
 {
     for (int i = 0; i < 10; ++i) {
