--- a/src/proxy/buffer_budget_test.cpp
+++ b/src/proxy/buffer_budget_test.cpp
@@ -49,8 +49,10 @@
 RC_GTEST_PROP(buffer_budget_property, large_buffers_within_their_shares_stay_below_the_limit, ())
 {
     buffer_budget budget{limit};
+    constexpr int buffers = 100;
     std::vector<std::unique_ptr<buffered_bytes>> all;
-    for (int i = 0; i < 100; ++i) {
+    all.reserve(buffers);
+    for (int i = 0; i < buffers; ++i) {
         all.push_back(std::make_unique<buffered_bytes>(budget));
     }
     const auto steps = *rc::gen::container<std::vector<std::pair<std::size_t, std::size_t>>>(
