Let no bystander hide a request that crashes replicas, and wait for the evaluation

Cause: runs that a quarantined request explains no longer counted against others. A sound request with three lost runs was quarantined first, and the deadly one needed three new runs. Besides, waiting requests were sent as soon as the runs counted, up to a tick before the evaluation that quarantines them.

Change: a request is explained only if all its runs are; one that crashes replicas sooner or later loses a run that is not. A request that waits for the evidence on its own part waits until the evaluation has seen it.

Evidence: prompt_quarantine_test.request_with_a_lost_run_of_its_own_is_quarantined_beside_another and request_waits_until_the_evaluation_has_seen_its_lost_runs fail without the change.

--- a/src/quarantine/prompt_quarantine.cpp
+++ b/src/quarantine/prompt_quarantine.cpp
@@ -250,7 +250,9 @@
         }
         const auto latest = std::ranges::max_element(
             item.crashes, std::less{}, [](const auto& crash) { return crash.second; });
-        const duration wait = latest->second + settling_time() - now;
+        const duration until_evaluated =
+            is_own_part(part) ? settings_.evaluation_interval : duration{0};
+        const duration wait = latest->second + settling_time() + until_evaluated - now;
         if (wait > duration{0} && (!out || wait > *out)) {
             out = wait;
         }
@@ -451,8 +453,9 @@
     }
 }
 
-// A request is lost by chance beside one that crashes replicas, so that runs count against one
-// request only, the one with the most of them.
+// A request may be lost by chance beside one that crashes replicas. It is explained by that one
+// only if all its runs are: one that crashes replicas itself sooner or later loses a run that is
+// not.
 void prompt_quarantine::evaluate_own_parts(const std::map<part_key, suspicion>& pooled,
                                            time_point now)
 {
@@ -472,10 +475,15 @@
     const duration settling = settling_time();
     for (const auto& [n, part] : lost) {
         const auto& crashes = pooled.at(part).crashes;
-        const auto counted = std::ranges::count_if(crashes, [&](const auto& crash) {
-            return now - crash.second >= settling && !attributed.contains(crash.first);
-        });
-        if (counted < static_cast<std::ptrdiff_t>(settings_.min_own_crashes)) {
+        std::size_t settled = 0;
+        bool explained = true;
+        for (const auto& [run, at] : crashes) {
+            if (now - at >= settling) {
+                ++settled;
+                explained = explained && attributed.contains(run);
+            }
+        }
+        if (settled < settings_.min_own_crashes || explained) {
             continue;
         }
         impose(part, crashes.size(), now);
--- a/src/quarantine/prompt_quarantine.hpp
+++ b/src/quarantine/prompt_quarantine.hpp
@@ -64,6 +64,9 @@
     duration crash_memory{120s}; ///< a part without a lost run for this time is no suspect
     /// Lost runs count after this time, so that other VMs can report answers that went on.
     duration settling_time{1s};
+    /// Longest time between two calls of evaluate(). A request that waits for the evidence on its
+    /// own part waits until the evaluation has seen it.
+    duration evaluation_interval{250ms};
     /// Runs lost up to this time after a quarantine began, or `settling_time` before, are
     /// attributed to its part: requests were under way, and other VMs report them late.
     duration explained_time{2s};
--- a/src/quarantine/prompt_quarantine_test.cpp
+++ b/src/quarantine/prompt_quarantine_test.cpp
@@ -78,6 +78,49 @@
     EXPECT_FALSE(holds(bystander));
 }
 
+// Guards against a request that was lost beside a deadly one and hides it (`deadly` in
+// parish-query, seed 2 on indice-andino).
+TEST_F(prompt_quarantine_test, request_with_a_lost_run_of_its_own_is_quarantined_beside_another)
+{
+    constexpr part_key own = own_part_key(9);
+    constexpr part_key bystander = own_part_key(7);
+    for (const replica_run run : {1, 2, 3}) {
+        lose({common, bystander}, run);
+    }
+    lose({common, own}, 1);
+    lose({common, own}, 2);
+    wait(2s);
+    ASSERT_TRUE(holds(bystander));
+    EXPECT_FALSE(holds(own));
+    lose({common, own}, 4);
+    wait(1200ms);
+    EXPECT_TRUE(holds(own));
+}
+
+// Guards against sending a request between the time at which its lost runs count and the
+// evaluation.
+TEST_F(prompt_quarantine_test, request_waits_until_the_evaluation_has_seen_its_lost_runs)
+{
+    constexpr part_key own = own_part_key(9);
+    constexpr duration tick = 200ms;
+    for (const duration phase : {0ms, 50ms, 150ms, 199ms}) {
+        quarantine_ = prompt_quarantine{};
+        clock_.advance(phase);
+        for (const replica_run run : {1, 2, 3}) {
+            lose({own}, run);
+        }
+        time_point next_tick = now() + tick - phase;
+        while (quarantine_.until_settled(std::vector{own}, now())) {
+            clock_.advance(1ms);
+            if (now() >= next_tick) {
+                quarantine_.evaluate(now());
+                next_tick += tick;
+            }
+        }
+        EXPECT_TRUE(holds(own)) << phase.count();
+    }
+}
+
 TEST_F(prompt_quarantine_test, own_part_of_an_answer_that_goes_on_is_no_suspect)
 {
     constexpr part_key own = own_part_key(9);
