Keep requests in their allowed regions and away from evacuated failure domains

What callers saw: requests of routes and teams that name allowed regions ran in other regions, and evacuated domains went on getting requests until the order was withdrawn.

Cause: nothing read the allowed regions of routes and teams, or the orders to evacuate a failure domain.

Change: one predicate, proxy_core::permits, is asked by each choice of a replica and once more right before the first byte, against the configuration in force then. A request that must leave the region is not held back by the budget of the link.

--- a/src/proxy/catalog.cpp
+++ b/src/proxy/catalog.cpp
@@ -28,6 +28,7 @@
 {
     for (const auto& route : contents_.routes) {
         by_host_[to_lower(route.host)].push_back(&route);
+        by_route_name_.emplace(route.name, &route);
     }
     for (auto& [host, routes] : by_host_) {
         std::ranges::stable_sort(routes, [](const proxy_route* a, const proxy_route* b) {
@@ -35,6 +36,7 @@
         });
     }
     for (const auto& team : contents_.teams) {
+        by_team_name_.emplace(team.name.value, &team);
         for (const auto& key : team.keys) {
             by_key_.emplace(key, &team);
         }
@@ -70,6 +72,18 @@
     return it == by_service_.end() ? nullptr : it->second;
 }
 
+const proxy_route* proxy_catalog::find_route_by_name(std::string_view name) const
+{
+    const auto it = by_route_name_.find(name);
+    return it == by_route_name_.end() ? nullptr : it->second;
+}
+
+const proxy_team* proxy_catalog::find_team_by_name(std::string_view name) const
+{
+    const auto it = by_team_name_.find(name);
+    return it == by_team_name_.end() ? nullptr : it->second;
+}
+
 const std::string& pick_service(const proxy_route& route, std::uint64_t affinity_hash)
 {
     double sum = 0;
--- a/src/proxy/catalog.hpp
+++ b/src/proxy/catalog.hpp
@@ -51,6 +51,8 @@
     std::uint32_t priority{0};       ///< 0 is served first
     std::vector<std::string> models; ///< smallest first; empty: the request names its model
     std::vector<service_share> services;
+    /// Regions in which requests may be served; empty: all.
+    std::vector<region_id> allowed_regions;
 
     [[nodiscard]] bool repeatable() const
     {
@@ -63,6 +65,8 @@
     std::vector<std::string> keys;
     std::uint32_t priority{0}; ///< takes precedence over the route's
     bool has_priority{false};
+    /// Regions in which the team's requests may be served; empty: all.
+    std::vector<region_id> allowed_regions{};
 };
 
 /// Cost per 1000 generated tokens; a prompt token costs a quarter of a generated one.
@@ -110,12 +114,16 @@
     /// Returns the team that holds the key, or null.
     [[nodiscard]] const proxy_team* find_team(std::string_view key) const;
     [[nodiscard]] const proxy_service* find_service(std::string_view name) const;
+    [[nodiscard]] const proxy_route* find_route_by_name(std::string_view name) const;
+    [[nodiscard]] const proxy_team* find_team_by_name(std::string_view name) const;
 
 private:
     catalog_contents contents_;
     std::map<std::string, std::vector<const proxy_route*>, std::less<>> by_host_;
     std::unordered_map<std::string_view, const proxy_team*> by_key_;
     std::unordered_map<std::string_view, const proxy_service*> by_service_;
+    std::unordered_map<std::string_view, const proxy_route*> by_route_name_;
+    std::unordered_map<std::string_view, const proxy_team*> by_team_name_;
 };
 
 /// Chooses the service for a request. Requests with the same `affinity_hash` go to the same service
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -35,6 +35,8 @@
 /// Answers of the established software that must be known to call others slow.
 constexpr double answers_for_slowness = 20;
 constexpr double unlimited_bytes_per_second = 1e12;
+/// Regions and evacuations change when operators act; a change applies within a few seconds.
+constexpr duration domain_retry_after = 1s;
 
 /// Combines two 64-bit numbers into a hash that spreads chained identifiers over the index.
 std::uint64_t combine_hashes(std::uint64_t seed, std::uint64_t value)
@@ -123,7 +125,8 @@
                                             "No route matches the host and path.", {}))
                    : not_ready_error("The route is unknown and the configuration may be outdated.");
     }
-    admission out{catalog_, route, {}, {}, route->priority, 0, {}};
+    admission out{catalog_, route, {}, {}, route->priority, 0, {}, {}};
+    std::span<const region_id> team_regions;
     if (catalog_->has_teams() && !route->anonymous) {
         const proxy_team* team = catalog_->find_team(request.key);
         if (team == nullptr) {
@@ -137,7 +140,9 @@
             return tl::unexpected(std::move(*refused));
         }
         out.priority = team->has_priority ? team->priority : out.priority;
+        team_regions = team->allowed_regions;
     }
+    out.regions = allowed_regions{route->allowed_regions, team_regions};
     out.affinity_hash = hash64(request.session.empty() ? request.id : request.session);
     out.service = pick_service(*route, out.affinity_hash);
     const duration left = request.deadline.value_or(route->timeout);
@@ -206,10 +211,129 @@
     return true;
 }
 
-bool proxy_core::may_use(const placement& placed, time_point now) const
+bool proxy_core::allows_domain(const admission& admitted, const failure_domain_id& domain) const
+{
+    if (evacuations_.contains(domain)) {
+        return false;
+    }
+    if (admitted.catalog == catalog_) {
+        return !admitted.regions.restricted() || admitted.regions.allows(region_of(domain));
+    }
+    const allowed_regions current = current_regions(admitted);
+    return !current.restricted() || current.allows(region_of(domain));
+}
+
+bool proxy_core::permits(const admission& admitted, replica_index replica, time_point /*now*/) const
+{
+    return allows_domain(admitted, pool_.view(replica).spec.failure_domain);
+}
+
+allowed_regions proxy_core::current_regions(const admission& admitted) const
+{
+    if (admitted.catalog == catalog_ || !catalog_) {
+        return admitted.regions;
+    }
+    const proxy_route* route = catalog_->find_route_by_name(admitted.route->name);
+    const proxy_team* team = catalog_->find_team_by_name(admitted.team.value);
+    // A route or team that is gone keeps the regions with which the request was admitted.
+    if (route == nullptr || (team == nullptr && !admitted.team.empty())) {
+        return admitted.regions;
+    }
+    return team == nullptr ? allowed_regions{route->allowed_regions, {}}
+                           : allowed_regions{route->allowed_regions, team->allowed_regions};
+}
+
+region_id proxy_core::region_of(const failure_domain_id& domain) const
+{
+    const auto it = settings_.regions.find(domain);
+    return it == settings_.regions.end() ? region_id{} : it->second;
+}
+
+bool proxy_core::remote_only(const admission& admitted) const
+{
+    const allowed_regions regions = current_regions(admitted);
+    if (!regions.restricted() && evacuations_.empty()) {
+        return false;
+    }
+    return std::ranges::none_of(settings_.regions, [&](const auto& item) {
+        return item.second == settings_.region && !evacuations_.contains(item.first) &&
+               regions.allows(item.second);
+    });
+}
+
+std::optional<error> proxy_core::domain_refusal(const admission& admitted) const
+{
+    const auto refuse = [&](std::string detail) {
+        return refusal(error_code::no_upstream, step::route, std::move(detail), domain_retry_after);
+    };
+    const allowed_regions regions = current_regions(admitted);
+    if (regions.empty()) {
+        return refuse("The route and the team have no allowed region in common.");
+    }
+    bool known = false;
+    bool evacuated = false;
+    for (const auto& [id, entry] : directory_.entries()) {
+        const replica_announcement& replica = entry.announcement;
+        if (replica.service != admitted.service || entry.presence == replica_presence::leaving) {
+            continue;
+        }
+        known = true;
+        if (allows_domain(admitted, replica.failure_domain)) {
+            return std::nullopt;
+        }
+        evacuated = evacuated || regions.allows(region_of(replica.failure_domain));
+    }
+    if (!known) {
+        return std::nullopt;
+    }
+    return refuse(evacuated
+                      ? "Every allowed failure domain with a replica is being evacuated."
+                      : "No replica of the service is in a region that the route and team allow.");
+}
+
+bool proxy_core::set_evacuated(const failure_domain_id& domain, bool evacuated, time_point now)
+{
+    if (evacuated) {
+        return evacuations_.begin(domain, now);
+    }
+    if (!evacuations_.end(domain)) {
+        return false;
+    }
+    note_evacuation_ended(domain, now);
+    return true;
+}
+
+std::vector<failure_domain_id>
+proxy_core::replace_evacuations(const std::set<failure_domain_id>& in_force, time_point now)
+{
+    auto changed = evacuations_.replace(in_force, now);
+    for (const auto& domain : changed) {
+        if (!in_force.contains(domain)) {
+            note_evacuation_ended(domain, now);
+        }
+    }
+    return changed;
+}
+
+std::uint32_t proxy_core::requests_running_in(const failure_domain_id& domain) const
+{
+    std::uint32_t out = 0;
+    for (const auto& [id, entry] : directory_.entries()) {
+        const auto replica = pool_.find(id);
+        if (replica && entry.announcement.failure_domain == domain) {
+            out += pool_.load(*replica).in_flight;
+        }
+    }
+    return out;
+}
+
+void proxy_core::note_evacuation_ended(const failure_domain_id& /*domain*/, time_point /*now*/) {}
+
+bool proxy_core::may_use(const admission& admitted, const placement& placed, time_point now) const
 {
     const auto* entry = directory_.find(placed.upstream);
-    return entry != nullptr && entry->presence != replica_presence::leaving &&
+    return entry != nullptr && permits(admitted, placed.ticket.replica, now) &&
+           entry->presence != replica_presence::leaving &&
            entry->announcement.started_ms == placed.replica_started_ms &&
            pool_.may_send(placed.ticket, now);
 }
@@ -222,7 +346,7 @@
     for (const auto& [id, entry] : directory_.entries()) {
         const auto replica = pool_.find(id);
         if (!replica || entry.announcement.service != admitted.service ||
-            entry.presence == replica_presence::leaving ||
+            entry.presence == replica_presence::leaving || !permits(admitted, *replica, now) ||
             std::ranges::find(history.tried, *replica) != history.tried.end()) {
             continue;
         }
@@ -315,9 +439,20 @@
     return configuration_age(now) <= settings_.key_validity || live_peers(now) > 0;
 }
 
+std::vector<std::string> proxy_core::allowed_software(const admission& admitted) const
+{
+    if (evacuations_.empty() && !current_regions(admitted).restricted()) {
+        return directory_.software_versions_of(admitted.service);
+    }
+    return directory_.software_versions_of(
+        admitted.service, [&](const replica_announcement& replica) {
+            return allows_domain(admitted, replica.failure_domain);
+        });
+}
+
 std::string proxy_core::software_without_rollout(const admission& admitted) const
 {
-    const auto present = directory_.software_versions_of(admitted.service);
+    const auto present = allowed_software(admitted);
     std::vector<std::string> verified;
     std::ranges::copy_if(present, std::back_inserter(verified), [&](const std::string& software) {
         return is_verified_software(admitted.service, software);
@@ -336,12 +471,17 @@
         return software_without_rollout(admitted);
     }
     const std::string& target = rollout->order().target;
-    auto present = directory_.software_versions_of(admitted.service);
+    auto present = allowed_software(admitted);
     const bool has_target = std::erase(present, target) > 0;
+    const rollout_state state = rollout->state();
+    if (present.empty() && state == rollout_state::rolled_back) {
+        // Established software outside the allowed domains gives no reason to use the target.
+        present = directory_.software_versions_of(admitted.service);
+        std::erase(present, target);
+    }
     const auto old_software = [&]() -> std::string {
         return present.empty() ? target : present[admitted.affinity_hash % present.size()];
     };
-    const rollout_state state = rollout->state();
     if (state == rollout_state::rolled_back || !has_target) {
         return old_software();
     }
@@ -398,8 +538,9 @@
         left);
 }
 
-std::optional<replica_index> proxy_core::home_of(const version_id& version,
-                                                 std::uint64_t prefix) const
+std::optional<replica_index> proxy_core::home_of(const admission& admitted,
+                                                 const version_id& version, std::uint64_t prefix,
+                                                 time_point now) const
 {
     const std::string key = std::to_string(prefix);
     std::optional<replica_index> best;
@@ -407,7 +548,7 @@
     for (const auto distance : {locality::domain, locality::region}) {
         for (const replica_index replica : pool_.members(version, distance)) {
             const std::uint64_t weight = rendezvous_weight(key, pool_.view(replica).id.value);
-            if (!best || weight > best_weight) {
+            if ((!best || weight > best_weight) && permits(admitted, replica, now)) {
                 best = replica;
                 best_weight = weight;
             }
@@ -444,6 +585,11 @@
     choice_request wanted;
     wanted.version = &version;
     wanted.excluded = history.tried;
+    const std::function<bool(replica_index)> permitted = [&](replica_index replica) {
+        return permits(admitted, replica, now);
+    };
+    wanted.permitted = &permitted;
+    wanted.remote_only = remote_only(admitted);
     wanted.prefix_hashes = chain;
     wanted.block_sizes = sizes;
     wanted.prompt_tokens = request.prompt_tokens;
@@ -453,12 +599,25 @@
     wanted.timing = &timing;
     wanted.cost_per_1k_input = settings_.prefill_cost;
     if (!chain.empty()) {
-        wanted.prefix_home = home_of(version, chain.back());
+        wanted.prefix_home = home_of(admitted, version, chain.back(), now);
         wanted.home_blocks = static_cast<std::uint32_t>(chain.size());
     }
     return chooser_.choose(pool_, prefixes_, link_, wanted, now, generator_);
 }
 
+std::optional<error> proxy_core::check_pressure(const admission& admitted,
+                                                const proxied_request& /*request*/,
+                                                const choice& chosen, time_point /*now*/) const
+{
+    const replica_load& load = pool_.load(chosen.replica);
+    if (chosen.load <= overload * load.slots) {
+        return std::nullopt;
+    }
+    return refusal(error_code::queue_full, step::admit,
+                   "Every replica of the service is at its limit.",
+                   admitted.route->target_latency / overload_retry_divisor);
+}
+
 expected<placement> proxy_core::place(const admission& admitted, const proxied_request& request,
                                       const send_history& history, time_point now)
 {
@@ -470,14 +629,12 @@
     const auto chain = prefix_hash_chain(request, model.value_or(0));
     const auto chosen = choose_replica(admitted, request, history, software, model, chain, now);
     if (!chosen) {
-        return tl::unexpected(chosen.error());
+        return tl::unexpected(domain_refusal(admitted).value_or(chosen.error()));
     }
     const replica_view& view = pool_.view(chosen->replica);
     const replica_load& load = pool_.load(chosen->replica);
-    if (estimate_load(load, chooser_.settings()) > overload * load.slots) {
-        return tl::unexpected(refusal(error_code::queue_full, step::admit,
-                                      "Every replica of the service is at its limit.",
-                                      admitted.route->target_latency / overload_retry_divisor));
+    if (auto refused = check_pressure(admitted, request, *chosen, now)) {
+        return tl::unexpected(std::move(*refused));
     }
     link_.spend(chosen->link_bytes, now);
     if (!chain.empty()) {
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -5,9 +5,11 @@
 #include "calibration/engine_calibration.hpp"
 #include "proxy/catalog.hpp"
 #include "proxy/domain_bills.hpp"
+#include "proxy/evacuations.hpp"
 #include "proxy/model_cascade.hpp"
 #include "proxy/peer_table.hpp"
 #include "proxy/reading_schedule.hpp"
+#include "proxy/region_policy.hpp"
 #include "proxy/replica_directory.hpp"
 #include "proxy/rollout_tracker.hpp"
 #include "proxy/session_affinity.hpp"
@@ -24,6 +26,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -73,6 +76,7 @@
     std::uint32_t priority{0};      ///< 0 is served first
     std::uint64_t affinity_hash{0}; ///< hash of the session, or of the request id without one
     time_point answer_deadline;     ///< when the final answer is due
+    allowed_regions regions;        ///< of the route and the team
 };
 
 /// The earlier attempts of one request.
@@ -184,6 +188,16 @@
     /// Pause before the next read of the store after `failures` (at least 1) failed ones in a row.
     [[nodiscard]] duration until_retry(unsigned failures, time_point now) const;
     void set_configuration_age_limits(duration key_validity, duration definitive_refusal_age);
+    /// Failure domains whose replicas get no new requests. Changes take effect at once.
+    [[nodiscard]] const evacuations& evacuated_domains() const { return evacuations_; }
+    /// The operators' order to evacuate a failure domain is in force, or was withdrawn. Returns
+    /// false if this was known.
+    bool set_evacuated(const failure_domain_id& domain, bool evacuated, time_point now);
+    /// Replaces all orders by the ones in force. Returns the domains whose order began or ended.
+    std::vector<failure_domain_id> replace_evacuations(const std::set<failure_domain_id>& in_force,
+                                                       time_point now);
+    /// This VM's requests at the replicas of a failure domain.
+    [[nodiscard]] std::uint32_t requests_running_in(const failure_domain_id& domain) const;
     replica_directory& replicas() { return directory_; }
     [[nodiscard]] const replica_directory& replicas() const { return directory_; }
     rollout_tracker& rollouts() { return rollouts_; }
@@ -228,8 +242,17 @@
     bool note_replica_leaving(const placement& placed, time_point now);
     /// The replica asks this VM for no requests. Returns false if it was set aside for as long.
     bool note_quiet(const placement& placed, duration quiet, time_point now);
+    /// Whether the configuration and the evacuations in force let a request run in the failure
+    /// domain.
+    [[nodiscard]] bool allows_domain(const admission& admitted,
+                                     const failure_domain_id& domain) const;
+    /// Whether an admitted request may be sent to a replica. Every choice of a replica asks this,
+    /// and may_use() once more right before the first byte.
+    [[nodiscard]] bool permits(const admission& admitted, replica_index replica,
+                               time_point now) const;
     /// Whether a placed request may still be written to its replica.
-    [[nodiscard]] bool may_use(const placement& placed, time_point now) const;
+    [[nodiscard]] bool may_use(const admission& admitted, const placement& placed,
+                               time_point now) const;
     /// Time until the first replica that a request may use is no longer set aside; nothing if none
     /// is set aside.
     [[nodiscard]] std::optional<duration>
@@ -309,6 +332,16 @@
     [[nodiscard]] bool is_verified_software(const std::string& service,
                                             const std::string& software) const;
     [[nodiscard]] std::string software_without_rollout(const admission& admitted) const;
+    /// Software versions of the request's service that have a replica in an allowed domain.
+    [[nodiscard]] std::vector<std::string> allowed_software(const admission& admitted) const;
+    /// The allowed regions by the configuration in force, which may be newer than the admission.
+    [[nodiscard]] allowed_regions current_regions(const admission& admitted) const;
+    [[nodiscard]] region_id region_of(const failure_domain_id& domain) const;
+    /// Whether no replica of this VM's region may serve the request.
+    [[nodiscard]] bool remote_only(const admission& admitted) const;
+    /// Explains why no replica could be chosen, if regions or evacuations are the reason.
+    [[nodiscard]] std::optional<error> domain_refusal(const admission& admitted) const;
+    void note_evacuation_ended(const failure_domain_id& domain, time_point now);
     [[nodiscard]] std::string choose_software(const admission& admitted,
                                               const proxied_request& request,
                                               const send_history& history, time_point now) const;
@@ -329,13 +362,18 @@
                                                 const std::string& software,
                                                 const proxied_request& request, std::size_t model,
                                                 time_point now);
+    /// Returns the refusal of a request that the service cannot serve under its present load.
+    [[nodiscard]] std::optional<error> check_pressure(const admission& admitted,
+                                                      const proxied_request& request,
+                                                      const choice& chosen, time_point now) const;
     void publish_calibration(time_point now);
     void take_leaving(const peer_report& report, time_point now);
     void take_quarantine(const peer_report& report, time_point now);
     /// Adds the evidence on prompt parts, and the quarantines, to a report.
     void fill_quarantine(peer_report& report, time_point now) const;
-    [[nodiscard]] std::optional<replica_index> home_of(const version_id& version,
-                                                       std::uint64_t prefix) const;
+    [[nodiscard]] std::optional<replica_index> home_of(const admission& admitted,
+                                                       const version_id& version,
+                                                       std::uint64_t prefix, time_point now) const;
     retry_budget& budget_of(const std::string& service, time_point now);
     /// Number of VMs that may share the limits of the whole deployment.
     [[nodiscard]] double sharing_vms() const;
@@ -370,6 +408,7 @@
     time_point last_answer_at_{time_point::max()}; ///< set while stopping
     bool refuses_new_requests_{false};
     replica_directory directory_;
+    evacuations evacuations_;
     replica_pool pool_;
     replica_chooser chooser_;
     prefix_index prefixes_;
--- a/src/proxy/proxy_core_state.cpp
+++ b/src/proxy/proxy_core_state.cpp
@@ -234,6 +234,10 @@
         refresh_pool(now);
     }
     refresh_loads(now);
+    for (const auto& [domain, since] : evacuations_.in_force()) {
+        counters_.level("evacuated_requests_running", {{"failure_domain", domain.value}})
+            .set(requests_running_in(domain));
+    }
     evaluate_rollouts(now);
     quarantine_.set_report_delay(peers_.report_interval(now) + peers_.digest_interval());
     quarantine_.evaluate(now);
--- a/src/proxy/replica_directory.cpp
+++ b/src/proxy/replica_directory.cpp
@@ -172,10 +172,17 @@
 }
 
 std::vector<std::string> replica_directory::software_versions_of(std::string_view service) const
+{
+    return software_versions_of(service, [](const replica_announcement&) { return true; });
+}
+
+std::vector<std::string> replica_directory::software_versions_of(
+    std::string_view service, const std::function<bool(const replica_announcement&)>& usable) const
 {
     std::set<std::string> found;
     for (const auto& [id, item] : entries_) {
-        if (item.announcement.service == service && item.presence != replica_presence::leaving) {
+        if (item.announcement.service == service && item.presence != replica_presence::leaving &&
+            usable(item.announcement)) {
             found.insert(item.announcement.software);
         }
     }
--- a/src/proxy/replica_directory.hpp
+++ b/src/proxy/replica_directory.hpp
@@ -6,6 +6,7 @@
 #include "config/document.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -118,6 +119,10 @@
     [[nodiscard]] std::map<upstream_id, upstream_spec> upstreams() const;
     /// Software versions of the service that have a usable replica.
     [[nodiscard]] std::vector<std::string> software_versions_of(std::string_view service) const;
+    /// The same, of the replicas that `usable` accepts.
+    [[nodiscard]] std::vector<std::string>
+    software_versions_of(std::string_view service,
+                         const std::function<bool(const replica_announcement&)>& usable) const;
     /// Time at which this VM first received an announcement of the version; time_point{} if it has
     /// received none.
     [[nodiscard]] time_point first_seen(const version_id& version) const;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -433,7 +433,7 @@
 {
     return now - sent_at_ <= longest_send_delay && !core_.check_permission(*admitted_, now) &&
            (tests_quarantine_ || !core_.check_parts(request_, parts_, now)) && placed_ &&
-           core_.may_use(*placed_, now);
+           core_.may_use(*admitted_, *placed_, now);
 }
 
 duration request_flow::stall_timeout() const
--- a/src/routing/replica_chooser.cpp
+++ b/src/routing/replica_chooser.cpp
@@ -54,7 +54,8 @@
     [[nodiscard]] bool allowed(replica_index replica) const
     {
         return std::ranges::find(request.excluded, replica) == request.excluded.end() &&
-               pool.admits(replica, now);
+               pool.admits(replica, now) &&
+               (request.permitted == nullptr || (*request.permitted)(replica));
     }
     [[nodiscard]] prefix_match match(replica_index replica) const
     {
@@ -98,7 +99,7 @@
         if (best && (!by_expected_time || best->value.expected_first_token <= latency_threshold)) {
             continue;
         }
-        if (remote && !link.fits(bytes, now)) {
+        if (remote && !request.remote_only && !link.fits(bytes, now)) {
             break;
         }
         search(context, distance, generator, best);
--- a/src/routing/replica_chooser.hpp
+++ b/src/routing/replica_chooser.hpp
@@ -7,6 +7,7 @@
 #include "routing/replica_pool.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <span>
@@ -68,6 +69,11 @@
     const version_id* version{nullptr};
     std::string_view service{};
     std::span<const replica_index> excluded{}; ///< tried by earlier attempts of the request
+    /// Whether the request may be sent to a replica; nullptr: to any.
+    const std::function<bool(replica_index)>* permitted{nullptr};
+    /// Only replicas of other regions may serve the request, so the link's budget, which limits
+    /// optional remote sends, does not hold it back.
+    bool remote_only{false};
     std::span<const std::uint64_t> prefix_hashes{};
     std::uint32_t prompt_tokens{0};
     double request_bytes{0};     ///< estimate; sent over the link if the replica is remote
