Bound the requests that all VMs together send to a cold replica

What callers saw: replicas that had just started, or whose failure domain came back from an evacuation, got more requests in a second than they take while they are cold, and crashed.

Cause: many VMs chose the same cold replica at once since it looked idle, and nothing read how long a replica stays cold.

Change: cold_limiter names a few senders for each cold replica by a rendezvous hash over the registered VMs, those of its own domain first, and gives each a few requests in any second, with a margin for lists that differ; the bound holds by addition whichever VMs are dead, suspended or cut off. A send counts again right before its first byte. A replica counts as cold by its record, after a new start, after its domain's evacuation, after a failed connection of any VM (told in reports), and on a VM that hears neither the store nor peers.

--- a/src/proxy/catalog.hpp
+++ b/src/proxy/catalog.hpp
@@ -80,6 +80,8 @@
     std::uint32_t maximum_connections{0}; ///< to one replica, from all callers; 0: unlimited
     std::vector<model_price> models;
     std::uint32_t tokens_per_event{1}; ///< generated tokens in one event of a stream
+    duration cold_period{};            ///< for which a replica is cold after its start
+    double cold_rate{0};               ///< requests a second that a cold replica takes; 0: no bound
 };
 
 /// Bounds on what a caller may send.
@@ -107,6 +109,7 @@
     [[nodiscard]] revision version() const { return contents_.version; }
     [[nodiscard]] const request_limits& limits() const { return contents_.limits; }
     [[nodiscard]] const std::vector<proxy_route>& routes() const { return contents_.routes; }
+    [[nodiscard]] const std::vector<proxy_service>& services() const { return contents_.services; }
     [[nodiscard]] bool has_teams() const { return !contents_.teams.empty(); }
 
     /// Returns the host's route with the longest prefix that matches the path, or null.
--- /dev/null
+++ b/src/proxy/cold_replicas_test.cpp
@@ -0,0 +1,179 @@
+#include "proxy/test_proxy.hpp"
+
+#include <gtest/gtest.h>
+
+// When a VM takes a replica for cold, and what it does with requests meanwhile.
+
+namespace wagtailhitch {
+namespace {
+
+using namespace testing_proxy;
+
+class cold_replicas_test : public ::testing::Test {
+protected:
+    cold_replicas_test() : core_{settings(), counters_, clock_.now()}
+    {
+        auto contents = make_contents(1);
+        proxy_service app;
+        app.name = "app";
+        app.cold_period = 3s;
+        app.cold_rate = 4;
+        contents.services = {app};
+        core_.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
+        core_.note_vms_known();
+        announce("app-a", 100, 0ms);
+        pass(5s);
+    }
+
+    static proxy_settings settings()
+    {
+        auto out = make_settings();
+        out.cold.self = out.report_address;
+        out.cold_overshoot = 1.5;
+        out.cold_slack = 2;
+        return out;
+    }
+
+    void announce(const std::string& id, std::uint64_t started_ms, duration cold_left)
+    {
+        auto replica = make_replica(id, "app", "a");
+        replica.started_ms = started_ms;
+        replica.cold_left = cold_left;
+        replica.slots = 64;
+        core_.replicas().announce(replica, clock_.now());
+        pass(0ms);
+    }
+
+    void pass(duration time)
+    {
+        clock_.advance(time);
+        core_.confirm(clock_.now());
+        core_.tick(clock_.now());
+    }
+
+    [[nodiscard]] bool cold() const { return core_.is_cold(upstream_id{"app-a"}, clock_.now()); }
+
+    expected<placement> place()
+    {
+        proxied_request request;
+        request.id = "1";
+        request.host = "api.example";
+        request.path = "/read/1";
+        request.key = "key-1";
+        request.received_at = clock_.now();
+        const auto admitted = core_.admit(request, clock_.now());
+        return core_.place(*admitted, request, {}, clock_.now());
+    }
+
+    int place_all()
+    {
+        int n = 0;
+        while (n < 50 && place()) {
+            ++n;
+        }
+        return n;
+    }
+
+    manual_clock clock_;
+    metrics counters_;
+    proxy_core core_;
+};
+
+TEST_F(cold_replicas_test, warm_replica_has_no_bound)
+{
+    EXPECT_FALSE(cold());
+    EXPECT_EQ(place_all(), 50);
+}
+
+TEST_F(cold_replicas_test, replica_is_cold_for_the_time_that_its_record_states)
+{
+    announce("app-a", 100, 2s);
+    EXPECT_TRUE(cold());
+    EXPECT_LE(place_all(), 8);
+    pass(1999ms);
+    EXPECT_TRUE(cold());
+    pass(1ms);
+    EXPECT_FALSE(cold());
+}
+
+// The record of a new start may have been written before the replica counts the time.
+TEST_F(cold_replicas_test, replica_that_started_again_is_cold_whatever_its_record_states)
+{
+    announce("app-a", 200, 0ms);
+    EXPECT_TRUE(cold());
+    pass(3s);
+    EXPECT_FALSE(cold());
+}
+
+TEST_F(cold_replicas_test, replicas_are_cold_after_the_evacuation_of_their_domain)
+{
+    core_.set_evacuated(failure_domain_id{"a"}, true, clock_.now());
+    pass(20s);
+    EXPECT_FALSE(cold());
+    core_.set_evacuated(failure_domain_id{"a"}, false, clock_.now());
+    EXPECT_TRUE(cold());
+    pass(3s);
+    EXPECT_FALSE(cold());
+}
+
+// The replica may start again under its id before its record tells so.
+TEST_F(cold_replicas_test, replica_that_could_not_be_reached_is_cold_until_its_record_would_tell)
+{
+    const auto placed = place();
+    core_.note_unreachable(*placed, clock_.now());
+    EXPECT_TRUE(cold());
+    pass(6s);
+    EXPECT_TRUE(cold());
+    pass(1s);
+    EXPECT_FALSE(cold());
+}
+
+TEST_F(cold_replicas_test, failed_connection_of_another_vm_counts)
+{
+    peer_report report;
+    report.from = {vm_id{"vm-2"}, 1};
+    report.domain = failure_domain_id{"a"};
+    report.address = "127.0.0.1:2";
+    report.sequence = 1;
+    report.unreachable_replicas = {{upstream_id{"app-a"}, 500ms}};
+    core_.take_report(report, clock_.now());
+    EXPECT_TRUE(cold());
+}
+
+TEST_F(cold_replicas_test, request_waits_for_the_share_instead_of_being_refused)
+{
+    announce("app-a", 100, 5s);
+    place_all();
+    proxied_request request;
+    request.host = "api.example";
+    request.path = "/read/1";
+    request.key = "key-1";
+    request.received_at = clock_.now();
+    const auto admitted = core_.admit(request, clock_.now());
+    const auto wait = core_.until_released(*admitted, {}, clock_.now());
+    ASSERT_TRUE(wait.has_value());
+    EXPECT_LE(*wait, 1100ms);
+    pass(*wait);
+    EXPECT_TRUE(place().has_value());
+}
+
+// A request that waited for its connection must not reach a replica that has turned cold meanwhile
+// beyond the share of this VM.
+TEST_F(cold_replicas_test, request_is_withdrawn_when_its_replica_has_turned_cold_before_the_write)
+{
+    std::vector<placement> placed;
+    for (int i = 0; i < 20; ++i) {
+        placed.push_back(*place());
+    }
+    announce("app-a", 100, 2s);
+    pass(1100ms);
+    int sent = 0;
+    for (const auto& it : placed) {
+        sent += core_.begin_send(it, clock_.now()) ? 1 : 0;
+    }
+    EXPECT_LE(sent, 8);
+    EXPECT_GE(sent, 1);
+}
+
+} // namespace
+} // namespace wagtailhitch
--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -18,6 +18,7 @@
 /// Positions in a report of fields that reports of earlier versions lack.
 constexpr std::size_t calibration_index = 20;
 constexpr std::size_t part_evidence_index = 21;
+constexpr std::size_t unreachable_index = 25;
 
 json encode_loads(const std::vector<reported_load>& loads)
 {
@@ -103,6 +104,15 @@
     return out;
 }
 
+json encode_unreachable(const std::vector<reported_unreachable>& replicas)
+{
+    json out = json::array();
+    for (const auto& item : replicas) {
+        out.push_back({item.upstream.value, to_milliseconds(item.age)});
+    }
+    return out;
+}
+
 json encode_leaving(const std::vector<reported_leaving>& replicas)
 {
     json out = json::array();
@@ -305,6 +315,21 @@
     return true;
 }
 
+bool decode_unreachable(const json& array, std::vector<reported_unreachable>& out)
+{
+    for (const auto& item : array) {
+        field_reader in{item};
+        reported_unreachable replica;
+        replica.upstream = upstream_id{in.text()};
+        replica.age = milliseconds(in.integer());
+        if (!in.complete()) {
+            return false;
+        }
+        out.push_back(std::move(replica));
+    }
+    return true;
+}
+
 bool decode_paces(const json& array, std::vector<reported_pace>& out)
 {
     for (const auto& item : array) {
@@ -348,7 +373,8 @@
                                        encode_part_evidence(report.part_evidence),
                                        encode_quarantined(report.quarantined),
                                        encode_paces(report.paces),
-                                       encode_leaving(report.leaving_replicas)}));
+                                       encode_leaving(report.leaving_replicas),
+                                       encode_unreachable(report.unreachable_replicas)}));
 }
 
 expected<peer_report> decode_peer_report(std::string_view data)
@@ -386,7 +412,9 @@
                                 (decode_part_evidence(in.array(), report.part_evidence) &&
                                  decode_quarantined(in.array(), report.quarantined) &&
                                  decode_paces(in.array(), report.paces) &&
-                                 decode_leaving(in.array(), report.leaving_replicas)));
+                                 decode_leaving(in.array(), report.leaving_replicas))) &&
+                               (value->size() <= unreachable_index ||
+                                decode_unreachable(in.array(), report.unreachable_replicas));
     if (!known || !scope || !lists_decoded || !in.complete()) {
         return tl::unexpected(malformed(step::peer, report_name));
     }
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -74,6 +74,15 @@
     friend bool operator==(const reported_leaving&, const reported_leaving&) = default;
 };
 
+/// A replica to which a connection failed. It may start again under the same id, and is then cold
+/// before its record tells so.
+struct reported_unreachable {
+    upstream_id upstream;
+    duration age{}; ///< since the latest failure
+
+    friend bool operator==(const reported_unreachable&, const reported_unreachable&) = default;
+};
+
 /// Acknowledges the newest report that the sender has accepted from another VM. It tells that VM
 /// that the acknowledging report was made after the acknowledged one.
 struct received_report {
@@ -127,6 +136,7 @@
     std::vector<quarantined_part> quarantined;
     std::vector<reported_pace> paces;
     std::vector<reported_leaving> leaving_replicas;
+    std::vector<reported_unreachable> unreachable_replicas;
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -40,6 +40,7 @@
     };
     out.paces = {{"engine", 18250us}};
     out.leaving_replicas = {{upstream_id{"r2"}, 1789077001018}};
+    out.unreachable_replicas = {{upstream_id{"r3"}, 1200ms}};
     out.quarantined = {{0xfedcba9876543214ULL, 300s, 2}, {5, -20s, 1}, {6, 0s, 1, true}};
     return out;
 }
--- a/src/proxy/peer_table.cpp
+++ b/src/proxy/peer_table.cpp
@@ -111,6 +111,16 @@
     }
 }
 
+std::map<failure_domain_id, std::vector<std::string>> peer_table::registered() const
+{
+    auto out = known_addresses_;
+    out[settings_.domain].push_back(settings_.address);
+    for (auto& [domain, addresses] : out) {
+        std::ranges::sort(addresses);
+    }
+    return out;
+}
+
 void peer_table::remove_expired(time_point now)
 {
     const auto expired = [&](const auto& item) {
--- a/src/proxy/peer_table.hpp
+++ b/src/proxy/peer_table.hpp
@@ -39,6 +39,9 @@
     bool take(const peer_report& report, time_point now);
     /// Adds an address to report to even if no report has come from it.
     void add_address(const std::string& address, const failure_domain_id& domain);
+    /// Known addresses by failure domain, that of this VM included. The list only grows, and says
+    /// nothing about which VMs are live, so VMs with different views of that agree on it.
+    [[nodiscard]] std::map<failure_domain_id, std::vector<std::string>> registered() const;
     void remove_expired(time_point now);
 
     [[nodiscard]] std::size_t live_members(time_point now) const;
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -79,10 +79,10 @@
 
 proxy_core::proxy_core(proxy_settings settings, metrics& registry, time_point now)
     : settings_{std::move(settings)}, counters_{registry}, started_at_{now},
-      generator_{settings_.seed}, schedule_{settings_.reading},
-      directory_{settings_.directory, settings_.regions}, pool_{settings_.pool},
-      chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries}, link_{link_limit(settings_),
-                                                                              now},
+      generator_{settings_.seed}, schedule_{settings_.reading}, directory_{settings_.directory,
+                                                                           settings_.regions},
+      pool_{settings_.pool}, chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
+      cold_{settings_.cold, now}, link_{link_limit(settings_), now},
       quarantine_{settings_.quarantine}, retries_{settings_.retry}, cascade_{settings_.models},
       bills_{settings_.self, settings_.report_address, settings_.bills},
       calibration_{settings_.calibration}, rollouts_{settings_.self, settings_.rollout},
@@ -223,9 +223,75 @@
     return !current.restricted() || current.allows(region_of(domain));
 }
 
-bool proxy_core::permits(const admission& admitted, replica_index replica, time_point /*now*/) const
+bool proxy_core::permits(const admission& admitted, replica_index replica, time_point now) const
 {
-    return allows_domain(admitted, pool_.view(replica).spec.failure_domain);
+    const replica_view& view = pool_.view(replica);
+    if (!allows_domain(admitted, view.spec.failure_domain)) {
+        return false;
+    }
+    const auto* entry = directory_.find(view.id);
+    const auto target = entry == nullptr ? std::nullopt : cold_target(*entry);
+    return !target || !is_cold(view.id, now) || cold_.admits(*target, now);
+}
+
+std::optional<cold_limiter::replica>
+proxy_core::cold_target(const replica_directory::entry& entry) const
+{
+    const proxy_service* service =
+        catalog_ ? catalog_->find_service(entry.announcement.service) : nullptr;
+    if (service == nullptr || service->cold_rate <= 0) {
+        return std::nullopt;
+    }
+    const double bound = service->cold_rate * settings_.cold_overshoot + settings_.cold_slack;
+    return cold_limiter::replica{entry.announcement.id, entry.announcement.failure_domain,
+                                 static_cast<std::uint32_t>(bound)};
+}
+
+bool proxy_core::is_cold(const upstream_id& id, time_point now) const
+{
+    const auto* entry = directory_.find(id);
+    if (entry == nullptr || !cold_target(*entry)) {
+        return false;
+    }
+    const duration period = catalog_->find_service(entry->announcement.service)->cold_period;
+    const auto within = [now](time_point since, duration time) {
+        return since != time_point{} && now - since < time;
+    };
+    if (now < entry->cold_until || within(entry->started_at, period) || cold_.is_cold(id, now)) {
+        return true;
+    }
+    const auto evacuated = evacuation_ended_at_.find(entry->announcement.failure_domain);
+    if (evacuated != evacuation_ended_at_.end() && within(evacuated->second, period)) {
+        return true;
+    }
+    const auto failed = unreachable_at_.find(id);
+    if (failed != unreachable_at_.end() &&
+        within(failed->second, period + settings_.record_delay)) {
+        return true;
+    }
+    // Without the store and without peers nothing tells this VM that a replica has started again.
+    return !has_recent_contact(now);
+}
+
+void proxy_core::note_unreachable(const placement& placed, time_point now)
+{
+    unreachable_at_[placed.upstream] = now;
+}
+
+void proxy_core::note_cold(const placement& placed, duration left, time_point now)
+{
+    cold_.note_cold(placed.upstream, now + left);
+}
+
+bool proxy_core::begin_send(const placement& placed, time_point now)
+{
+    const auto* entry = directory_.find(placed.upstream);
+    const auto target = entry == nullptr ? std::nullopt : cold_target(*entry);
+    if (!target || cold_.confirm(*target, is_cold(placed.upstream, now), placed.send, now)) {
+        return true;
+    }
+    counters_.count("cold_requests_deferred_total", {{"reason", "withdrawn"}}).add();
+    return false;
 }
 
 allowed_regions proxy_core::current_regions(const admission& admitted) const
@@ -327,12 +393,16 @@
     return out;
 }
 
-void proxy_core::note_evacuation_ended(const failure_domain_id& /*domain*/, time_point /*now*/) {}
+// Replicas may have become cold shortly before the order was withdrawn.
+void proxy_core::note_evacuation_ended(const failure_domain_id& domain, time_point now)
+{
+    evacuation_ended_at_[domain] = now;
+}
 
 bool proxy_core::may_use(const admission& admitted, const placement& placed, time_point now) const
 {
     const auto* entry = directory_.find(placed.upstream);
-    return entry != nullptr && permits(admitted, placed.ticket.replica, now) &&
+    return entry != nullptr && allows_domain(admitted, entry->announcement.failure_domain) &&
            entry->presence != replica_presence::leaving &&
            entry->announcement.started_ms == placed.replica_started_ms &&
            pool_.may_send(placed.ticket, now);
@@ -346,11 +416,16 @@
     for (const auto& [id, entry] : directory_.entries()) {
         const auto replica = pool_.find(id);
         if (!replica || entry.announcement.service != admitted.service ||
-            entry.presence == replica_presence::leaving || !permits(admitted, *replica, now) ||
+            entry.presence == replica_presence::leaving ||
+            !allows_domain(admitted, entry.announcement.failure_domain) ||
             std::ranges::find(history.tried, *replica) != history.tried.end()) {
             continue;
         }
-        const auto wait = pool_.until_released(*replica, now);
+        auto wait = pool_.until_released(*replica, now);
+        const auto target = cold_target(entry);
+        if (!wait && target && is_cold(id, now)) {
+            wait = cold_.until_admitted(*target, now);
+        }
         if (wait && (!first || *wait < *first)) {
             first = wait;
         }
@@ -539,8 +614,8 @@
 }
 
 std::optional<replica_index> proxy_core::home_of(const admission& admitted,
-                                                 const version_id& version, std::uint64_t prefix,
-                                                 time_point now) const
+                                                 const version_id& version,
+                                                 std::uint64_t prefix) const
 {
     const std::string key = std::to_string(prefix);
     std::optional<replica_index> best;
@@ -548,7 +623,9 @@
     for (const auto distance : {locality::domain, locality::region}) {
         for (const replica_index replica : pool_.members(version, distance)) {
             const std::uint64_t weight = rendezvous_weight(key, pool_.view(replica).id.value);
-            if ((!best || weight > best_weight) && permits(admitted, replica, now)) {
+            // A replica that is cold for a moment keeps the prefixes whose home it is.
+            if ((!best || weight > best_weight) &&
+                allows_domain(admitted, pool_.view(replica).spec.failure_domain)) {
                 best = replica;
                 best_weight = weight;
             }
@@ -599,7 +676,7 @@
     wanted.timing = &timing;
     wanted.cost_per_1k_input = settings_.prefill_cost;
     if (!chain.empty()) {
-        wanted.prefix_home = home_of(admitted, version, chain.back(), now);
+        wanted.prefix_home = home_of(admitted, version, chain.back());
         wanted.home_blocks = static_cast<std::uint32_t>(chain.size());
     }
     return chooser_.choose(pool_, prefixes_, link_, wanted, now, generator_);
@@ -643,6 +720,7 @@
     placement out;
     out.ticket = pool_.begin(chosen->replica, now);
     out.upstream = view.id;
+    out.send = cold_.reserve(view.id, now);
     out.address = view.spec.address;
     const replica_announcement& replica = directory_.find(view.id)->announcement;
     out.software = replica.software;
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -15,6 +15,7 @@
 #include "proxy/session_affinity.hpp"
 #include "quarantine/prompt_quarantine.hpp"
 #include "retry/retry_policy.hpp"
+#include "routing/cold_limiter.hpp"
 #include "routing/link_budget.hpp"
 #include "routing/prefix_index.hpp"
 #include "routing/replica_chooser.hpp"
@@ -103,6 +104,7 @@
     engine_key engine;
     first_token_inputs inputs; ///< that `predicted` depends on
     bool waits{false};         ///< all slots of the replica are believed to be in use
+    std::uint64_t send{0};     ///< number of the send at the cold limiter
 };
 
 struct proxy_settings {
@@ -141,10 +143,19 @@
     /// Time between two reports of what was learned about the engines.
     duration calibration_interval{1s};
     quarantine_settings quarantine{};
+    /// Time for which reports tell that a connection to a replica failed.
+    duration unreachable_report_time{3s};
     /// Time for which reports tell that a replica is leaving.
     duration leaving_report_time{10s};
     retry_settings retry{};
     domain_bill_settings bills{};
+    cold_limiter_settings cold{};
+    /// Bound of the requests in a second that all VMs send to a cold replica, as a multiple of the
+    /// rate that it takes and a constant.
+    double cold_overshoot{1};
+    double cold_slack{0};
+    /// Longest time until a VM has read what a replica writes of itself.
+    duration record_delay{4s};
     double prefill_cost{0}; ///< money units per 1000 prompt tokens
     std::size_t prefix_entries{std::size_t{16} * 1024};
     std::uint64_t seed{1};
@@ -250,6 +261,16 @@
     /// and may_use() once more right before the first byte.
     [[nodiscard]] bool permits(const admission& admitted, replica_index replica,
                                time_point now) const;
+    /// A connection to the replica of an attempt failed: it may start again, and is then cold.
+    void note_unreachable(const placement& placed, time_point now);
+    /// The replica of an attempt says in an answer that it is cold for this time.
+    void note_cold(const placement& placed, duration left, time_point now);
+    /// The VMs that are registered in the store have been read.
+    void note_vms_known() { vms_known_ = true; }
+    [[nodiscard]] bool is_cold(const upstream_id& id, time_point now) const;
+    /// Counts a request whose first byte is about to be written. Returns false if its replica has
+    /// turned cold and takes no further request of this VM now.
+    bool begin_send(const placement& placed, time_point now);
     /// Whether a placed request may still be written to its replica.
     [[nodiscard]] bool may_use(const admission& admitted, const placement& placed,
                                time_point now) const;
@@ -341,6 +362,9 @@
     [[nodiscard]] bool remote_only(const admission& admitted) const;
     /// Explains why no replica could be chosen, if regions or evacuations are the reason.
     [[nodiscard]] std::optional<error> domain_refusal(const admission& admitted) const;
+    /// The bound and the domain of a replica that may be cold; nothing if its service has no bound.
+    [[nodiscard]] std::optional<cold_limiter::replica>
+    cold_target(const replica_directory::entry& entry) const;
     void note_evacuation_ended(const failure_domain_id& domain, time_point now);
     [[nodiscard]] std::string choose_software(const admission& admitted,
                                               const proxied_request& request,
@@ -366,14 +390,14 @@
     [[nodiscard]] std::optional<error> check_pressure(const admission& admitted,
                                                       const proxied_request& request,
                                                       const choice& chosen, time_point now) const;
+    void refresh_cold_replicas(time_point now);
     void publish_calibration(time_point now);
     void take_leaving(const peer_report& report, time_point now);
     void take_quarantine(const peer_report& report, time_point now);
     /// Adds the evidence on prompt parts, and the quarantines, to a report.
     void fill_quarantine(peer_report& report, time_point now) const;
-    [[nodiscard]] std::optional<replica_index> home_of(const admission& admitted,
-                                                       const version_id& version,
-                                                       std::uint64_t prefix, time_point now) const;
+    [[nodiscard]] std::optional<replica_index>
+    home_of(const admission& admitted, const version_id& version, std::uint64_t prefix) const;
     retry_budget& budget_of(const std::string& service, time_point now);
     /// Number of VMs that may share the limits of the whole deployment.
     [[nodiscard]] double sharing_vms() const;
@@ -412,6 +436,10 @@
     replica_pool pool_;
     replica_chooser chooser_;
     prefix_index prefixes_;
+    cold_limiter cold_;
+    bool vms_known_{false};
+    std::map<failure_domain_id, time_point> evacuation_ended_at_;
+    std::map<upstream_id, time_point> unreachable_at_; ///< latest failed connection
     link_budget link_;
     prompt_quarantine quarantine_;
     retry_policy retries_;
--- a/src/proxy/proxy_core_state.cpp
+++ b/src/proxy/proxy_core_state.cpp
@@ -119,6 +119,10 @@
     }
     take_quarantine(report, now);
     take_leaving(report, now);
+    for (const auto& item : report.unreachable_replicas) {
+        time_point& known = unreachable_at_[item.upstream];
+        known = std::max(known, now - item.age);
+    }
     const auto source = member ? session_source::member : session_source::other_domain;
     for (const auto& item : report.sessions) {
         sessions_.remember(item.session, item.software, now - item.age, source);
@@ -212,6 +216,11 @@
             report.leaving_replicas.push_back({id, run.started_ms});
         }
     }
+    for (const auto& [id, at] : unreachable_at_) {
+        if (now - at <= settings_.unreachable_report_time) {
+            report.unreachable_replicas.push_back({id, now - at});
+        }
+    }
     time_point& next = next_calibration_report_[static_cast<std::size_t>(scope)];
     if (now >= next) {
         next = now + settings_.calibration_interval;
@@ -230,6 +239,7 @@
         link_.set_rate(settings_.link_bytes_per_second / sharing_vms(), now);
     }
     sessions_.sweep(now);
+    refresh_cold_replicas(now);
     if (directory_.tick(now)) {
         refresh_pool(now);
     }
@@ -245,6 +255,27 @@
     return rollouts_.publications(peers_.rank(stopping_, now), now);
 }
 
+void proxy_core::refresh_cold_replicas(time_point now)
+{
+    if (vms_known_) {
+        cold_.set_members(peers_.registered());
+    }
+    cold_.sweep(now);
+    // Longer than any use of the times.
+    constexpr duration kept{60s};
+    std::erase_if(unreachable_at_, [&](const auto& item) { return now - item.second > kept; });
+    std::erase_if(evacuation_ended_at_, [&](const auto& item) { return now - item.second > kept; });
+    const bool bounded = catalog_ && std::ranges::any_of(catalog_->services(), [](const auto& it) {
+                             return it.cold_rate > 0;
+                         });
+    if (!bounded) {
+        return;
+    }
+    const auto cold = std::ranges::count_if(
+        directory_.entries(), [&](const auto& item) { return is_cold(item.first, now); });
+    counters_.level("cold_replicas").set(static_cast<double>(cold));
+}
+
 void proxy_core::publish_calibration(time_point now)
 {
     if (now < next_calibration_metrics_) {
--- a/src/proxy/replica_directory.cpp
+++ b/src/proxy/replica_directory.cpp
@@ -35,6 +35,7 @@
     const auto [it, added] = entries_.try_emplace(announcement.id);
     entry& known = it->second;
     if (added) {
+        known.cold_until = now + announcement.cold_left;
         known.announcement = announcement;
         known.presence =
             announcement.leaving ? replica_presence::leaving : replica_presence::present;
@@ -48,6 +49,10 @@
         return announcement_effect::stale;
     }
     const bool restarted = announcement.started_ms > known.announcement.started_ms;
+    if (restarted) {
+        known.started_at = now;
+    }
+    known.cold_until = std::max(known.cold_until, now + announcement.cold_left);
     const bool left = announcement.leaving && known.presence == replica_presence::present;
     // A replica that is leaving never becomes present again within the same run.
     const bool leaving =
--- a/src/proxy/replica_directory.hpp
+++ b/src/proxy/replica_directory.hpp
@@ -32,6 +32,7 @@
     bool leaving{false};
     std::uint64_t started_ms{0}; ///< Unix time of the replica's start; identifies its run
     std::uint64_t sequence{0};   ///< increases with each change within one run
+    duration cold_left{};        ///< how much longer the replica is cold, when it wrote the record
 
     friend bool operator==(const replica_announcement&, const replica_announcement&) = default;
 };
@@ -84,6 +85,8 @@
         replica_announcement announcement;
         replica_presence presence{replica_presence::present};
         time_point expires_at{}; ///< set for withdrawn entries
+        time_point cold_until{}; ///< by its records
+        time_point started_at{}; ///< when a further run was first seen; not set for the first one
     };
 
     replica_directory(directory_settings settings, std::map<failure_domain_id, region_id> regions);
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -246,6 +246,9 @@
     if (head.replica_leaving && core_.note_replica_leaving(*placed_, now)) {
         set_aside_ = "leaving";
     }
+    if (head.cold_for) {
+        core_.note_cold(*placed_, *head.cold_for, now);
+    }
     if (head.quiet_for && core_.note_quiet(*placed_, *head.quiet_for, now)) {
         set_aside_ = "asked_for_quiet";
     }
@@ -371,6 +374,9 @@
         const bool silent = failure.code == error_code::upstream_timeout;
         core_.note_answer(*admitted_, *placed_, {.failed = !silent, .slow = silent});
     }
+    if (placed_ && failure.code == error_code::upstream_connect_failed && !failure.withdrawn) {
+        core_.note_unreachable(*placed_, now);
+    }
     if (failure.connection_refused) {
         note_parts(part_outcome::connection_refused, now);
     }
@@ -433,7 +439,7 @@
 {
     return now - sent_at_ <= longest_send_delay && !core_.check_permission(*admitted_, now) &&
            (tests_quarantine_ || !core_.check_parts(request_, parts_, now)) && placed_ &&
-           core_.may_use(*admitted_, *placed_, now);
+           core_.may_use(*admitted_, *placed_, now) && core_.begin_send(*placed_, now);
 }
 
 duration request_flow::stall_timeout() const
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -71,6 +71,7 @@
     std::optional<double> confidence;  ///< of the model in its answer, 0 to 1
     bool replica_leaving{false};       ///< the replica says that it is about to stop
     bool quiet_unreadable{false};      ///< it asks for quiet in a form that cannot be read
+    std::optional<duration> cold_for;  ///< time for which it stays cold
     std::optional<duration> quiet_for; ///< time for which it asks this VM for no requests
 };
 
