Do not let requests wait for a cold replica that is not used for another reason

A cold replica with a free share that the pool does not admit gave a wait of 0 s, which the request repeated until half of its time was over. Found by reading; the new test fails without the change when the outlier detector ejects the replica.

--- a/src/proxy/cold_replicas_test.cpp
+++ b/src/proxy/cold_replicas_test.cpp
@@ -157,6 +157,24 @@
     EXPECT_TRUE(place().has_value());
 }
 
+// A wait of no time would be repeated without end while the replica cannot be used.
+TEST_F(cold_replicas_test, cold_replica_that_was_already_tried_makes_no_request_wait)
+{
+    announce("app-a", 100, 5s);
+    const auto placed = place();
+    proxied_request request;
+    request.host = "api.example";
+    request.path = "/read/1";
+    request.key = "key-1";
+    request.received_at = clock_.now();
+    const auto admitted = core_.admit(request, clock_.now());
+    for (int i = 0; i < 3; ++i) {
+        core_.finish(*placed, {.result = attempt_result::failed}, clock_.now());
+    }
+    const auto wait = core_.until_released(*admitted, {}, clock_.now());
+    EXPECT_TRUE(!wait || *wait > duration{0});
+}
+
 // A request that waited for its connection must not reach a replica that has turned cold meanwhile
 // beyond the share of this VM.
 TEST_F(cold_replicas_test, request_is_withdrawn_when_its_replica_has_turned_cold_before_the_write)
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -280,7 +280,8 @@
 
 void proxy_core::note_cold(const placement& placed, duration left, time_point now)
 {
-    cold_.note_cold(placed.upstream, now + left);
+    constexpr duration longest{60s};
+    cold_.note_cold(placed.upstream, now + std::min(left, longest));
 }
 
 bool proxy_core::begin_send(const placement& placed, time_point now)
@@ -425,6 +426,8 @@
         const auto target = cold_target(entry);
         if (!wait && target && is_cold(id, now)) {
             wait = cold_.until_admitted(*target, now);
+            // A replica that is not used for another reason must not make the request wait for 0 s.
+            wait = wait && *wait > duration{0} ? wait : std::nullopt;
         }
         if (wait && (!first || *wait < *first)) {
             first = wait;
