Count a lost connection as a sign that its replica starts again

Cause: only connections that failed before the first byte made a replica count as cold. A replica that crashes closes the connections of its requests first and may accept new ones before any VM was refused, so VMs went on at their usual rate. A request that was withdrawn since the VM's share of a cold replica was used up counted as sent there and was refused if no other replica was left.

Change: note_unreachable() also after a lost connection, and a request that was withdrawn from a cold replica may wait for it.

--- a/src/proxy/cold_replicas_test.cpp
+++ b/src/proxy/cold_replicas_test.cpp
@@ -1,3 +1,4 @@
+#include "proxy/request_flow.hpp"
 #include "proxy/test_proxy.hpp"
 
 #include <gtest/gtest.h>
@@ -53,7 +54,7 @@
 
     [[nodiscard]] bool cold() const { return core_.is_cold(upstream_id{"app-a"}, clock_.now()); }
 
-    expected<placement> place()
+    [[nodiscard]] proxied_request read_request() const
     {
         proxied_request request;
         request.id = "1";
@@ -61,6 +62,12 @@
         request.path = "/read/1";
         request.key = "key-1";
         request.received_at = clock_.now();
+        return request;
+    }
+
+    expected<placement> place()
+    {
+        const auto request = read_request();
         const auto admitted = core_.admit(request, clock_.now());
         return core_.place(*admitted, request, {}, clock_.now());
     }
@@ -128,6 +135,20 @@
     EXPECT_FALSE(cold());
 }
 
+// A replica that crashes closes the connections of its requests, and may accept new ones before any
+// VM was refused.
+TEST_F(cold_replicas_test, replica_that_lost_the_connection_of_a_request_is_cold)
+{
+    request_flow flow{core_, read_request()};
+    ASSERT_TRUE(std::holds_alternative<send_step>(flow.begin(clock_.now())));
+    (void)flow.on_failure({.code = error_code::upstream_failed,
+                           .run = run_state::outcome_unknown,
+                           .detail = "reset",
+                           .connection_lost = true},
+                          clock_.now());
+    EXPECT_TRUE(cold());
+}
+
 TEST_F(cold_replicas_test, failed_connection_of_another_vm_counts)
 {
     peer_report report;
@@ -157,6 +178,26 @@
     EXPECT_TRUE(place().has_value());
 }
 
+// Refusing it would lose a request that the share of the next second can serve.
+TEST_F(cold_replicas_test, request_that_was_withdrawn_for_the_share_waits_for_the_replica)
+{
+    request_flow flow{core_, read_request()};
+    ASSERT_TRUE(std::holds_alternative<send_step>(flow.begin(clock_.now())));
+    ASSERT_TRUE(place().has_value());
+    for (int i = 0; i < 20; ++i) {
+        core_.begin_send(*place(), clock_.now());
+    }
+    announce("app-a", 100, 5s);
+    ASSERT_FALSE(flow.may_send(clock_.now()));
+    const auto step = flow.on_failure({.code = error_code::upstream_connect_failed,
+                                       .run = run_state::not_run,
+                                       .detail = "withdrawn",
+                                       .withdrawn = true},
+                                      clock_.now());
+    ASSERT_TRUE(std::holds_alternative<wait_step>(step));
+    EXPECT_GT(std::get<wait_step>(step).pause, duration{0});
+}
+
 // A request that waited for its connection must not reach a replica that has turned cold meanwhile
 // beyond the share of this VM.
 TEST_F(cold_replicas_test, request_is_withdrawn_when_its_replica_has_turned_cold_before_the_write)
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -261,7 +261,8 @@
     /// and may_use() once more right before the first byte.
     [[nodiscard]] bool permits(const admission& admitted, replica_index replica,
                                time_point now) const;
-    /// A connection to the replica of an attempt failed: it may start again, and is then cold.
+    /// The connection to the replica of an attempt failed or was lost: it may start again, and is
+    /// then cold.
     void note_unreachable(const placement& placed, time_point now);
     /// The replica of an attempt says in an answer that it is cold for this time.
     void note_cold(const placement& placed, duration left, time_point now);
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -374,9 +374,15 @@
         const bool silent = failure.code == error_code::upstream_timeout;
         core_.note_answer(*admitted_, *placed_, {.failed = !silent, .slow = silent});
     }
-    if (placed_ && failure.code == error_code::upstream_connect_failed && !failure.withdrawn) {
+    const bool unreachable =
+        failure.code == error_code::upstream_connect_failed || failure.connection_lost;
+    if (placed_ && unreachable && !failure.withdrawn) {
         core_.note_unreachable(*placed_, now);
     }
+    if (placed_ && failure.withdrawn && core_.is_cold(placed_->upstream, now)) {
+        // This VM's share of the replica was used up; the request may still run there later.
+        history_.tried.pop_back();
+    }
     if (failure.connection_refused) {
         note_parts(part_outcome::connection_refused, now);
     }
