Free the share of withdrawn requests, and follow a replica to another domain

Cause: a request withdrawn right before its first byte kept its place in the window. If more requests than the share were waiting for their connections when a replica turned cold, all of them blocked each other for a second and none was sent. The share of a replica was kept by its id and bound only, so that a replica that came back in another failure domain kept the senders of the earlier one.

Change: confirm() forgets the withdrawn request. The known share includes the domain; shares of replicas that are forgotten are dropped.

--- a/src/routing/cold_limiter.cpp
+++ b/src/routing/cold_limiter.cpp
@@ -69,8 +69,8 @@
 std::uint32_t cold_limiter::quota_of(const replica& target) const
 {
     known_quota& known = quotas_[target.id];
-    if (known.bound != target.bound) {
-        known = {target.bound, compute_quota(target)};
+    if (known.bound != target.bound || known.domain != target.domain) {
+        known = {target.bound, target.domain, compute_quota(target)};
     }
     return known.requests;
 }
@@ -156,19 +156,20 @@
 
 bool cold_limiter::confirm(const replica& target, bool cold, std::uint64_t number, time_point now)
 {
-    if (cold && (now - started_at_ < settings_.start_delay ||
-                 sends_within(target.id, number, now) >= quota_of(target))) {
-        return false;
-    }
+    const bool withdrawn = cold && (now - started_at_ < settings_.start_delay ||
+                                    sends_within(target.id, number, now) >= quota_of(target));
     auto& sends = replicas_[target.id].sends;
     std::erase_if(
         sends, [&](const send& s) { return s.number == number || now - s.at >= settings_.window; });
-    sends.push_back({number, now});
-    return true;
+    if (!withdrawn) {
+        sends.push_back({number, now});
+    }
+    return !withdrawn;
 }
 
 void cold_limiter::sweep(time_point now)
 {
+    std::erase_if(quotas_, [&](const auto& item) { return !replicas_.contains(item.first); });
     std::erase_if(replicas_, [&](const auto& item) {
         const state& it = item.second;
         return now >= it.cold_until && std::ranges::all_of(it.sends, [&](const send& s) {
--- a/src/routing/cold_limiter.hpp
+++ b/src/routing/cold_limiter.hpp
@@ -68,7 +68,8 @@
     /// Counts a request that is about to be sent to a replica, cold or not.
     std::uint64_t reserve(const upstream_id& id, time_point now);
     /// Counts the request from now on. For a cold replica, returns false if it may no longer be
-    /// sent: the VM was suspended, or the replica has turned cold.
+    /// sent: the VM was suspended, or the replica has turned cold. The request then no longer
+    /// counts.
     bool confirm(const replica& target, bool cold, std::uint64_t send, time_point now);
     /// Forgets what is over.
     void sweep(time_point now);
@@ -96,6 +97,7 @@
     std::unordered_map<upstream_id, state> replicas_;
     struct known_quota {
         std::uint32_t bound{0};
+        failure_domain_id domain;
         std::uint32_t requests{0};
     };
     /// Quotas of this VM, which depend on the members only.
--- a/src/routing/cold_limiter_test.cpp
+++ b/src/routing/cold_limiter_test.cpp
@@ -123,6 +123,38 @@
     EXPECT_TRUE(limiter.confirm(target(), true, delayed, clock_.now()));
 }
 
+// Requests that keep their place in the window without being sent would block each other.
+TEST_F(cold_limiter_test, withdrawn_requests_leave_their_share_to_the_others)
+{
+    cold_limiter limiter{{.self = address_of(0, 0)}, clock_.now()};
+    limiter.set_members({{domain_a, {address_of(0, 0)}}});
+    clock_.advance(2s);
+    std::vector<std::uint64_t> sends;
+    for (int i = 0; i < 40; ++i) {
+        sends.push_back(limiter.reserve(replica_id, clock_.now()));
+    }
+    const auto sent = std::ranges::count_if(
+        sends, [&](std::uint64_t it) { return limiter.confirm(target(), true, it, clock_.now()); });
+    EXPECT_EQ(sent, divide_cold_bound(bound, 1, 1).requests);
+}
+
+// A replica may come back under its id in another failure domain, with other senders.
+TEST_F(cold_limiter_test, senders_follow_the_domain_of_the_replica)
+{
+    const auto members = make_members(2, 20);
+    const failure_domain_id domain_b{"b"};
+    cold_limiter limiter{{.self = address_of(0, 0)}, clock_.now()};
+    limiter.set_members(members);
+    clock_.advance(2s);
+    const auto quota = divide_cold_bound(bound, 20, 40);
+    ASSERT_LE(quota.senders, 20U);
+    for (int i = 0; i < 50; ++i) {
+        const upstream_id id{"i-" + std::to_string(i)};
+        (void)limiter.admits({id, domain_a, bound}, clock_.now());
+        EXPECT_FALSE(limiter.admits({id, domain_b, bound}, clock_.now()));
+    }
+}
+
 TEST_F(cold_limiter_test, share_is_divided_for_small_and_large_bounds)
 {
     for (const std::uint32_t most : {0U, 1U, 3U, 8U, 26U, 400U}) {
