Recognize a new start of a replica whose record was removed

Cause: the directory forgot a removed replica with its run. A replica that stops as planned removes its record before it starts again, so its start was not seen as new, and the replica counted as cold by the time in its record only, which may not be counted yet.

Change: the directory remembers removed runs for as long as leaving ones.

--- a/src/proxy/replica_directory.cpp
+++ b/src/proxy/replica_directory.cpp
@@ -35,6 +35,11 @@
     const auto [it, added] = entries_.try_emplace(announcement.id);
     entry& known = it->second;
     if (added) {
+        const auto removed = removed_runs_.find(record.id);
+        if (removed != removed_runs_.end()) {
+            known.started_at = record.started_ms > removed->second.started_ms ? now : time_point{};
+            removed_runs_.erase(removed);
+        }
         known.cold_until = now + announcement.cold_left;
         known.announcement = announcement;
         known.presence =
@@ -80,6 +85,7 @@
         return false;
     }
     if (it->second.presence == replica_presence::leaving) {
+        removed_runs_[id] = {it->second.announcement.started_ms, now};
         entries_.erase(it);
         return false;
     }
@@ -153,8 +159,16 @@
     std::erase_if(leaving_runs_, [&](const auto& item) {
         return now - item.second.marked_at > settings_.leaving_memory;
     });
-    const auto n = std::erase_if(entries_, [now](const auto& item) {
-        return item.second.presence == replica_presence::withdrawn && now >= item.second.expires_at;
+    std::erase_if(removed_runs_, [&](const auto& item) {
+        return now - item.second.removed_at > settings_.leaving_memory;
+    });
+    const auto n = std::erase_if(entries_, [&](const auto& item) {
+        const bool expired =
+            item.second.presence == replica_presence::withdrawn && now >= item.second.expires_at;
+        if (expired) {
+            removed_runs_[item.first] = {item.second.announcement.started_ms, now};
+        }
+        return expired;
     });
     return std::exchange(changed_, false) || n > 0;
 }
--- a/src/proxy/replica_directory.hpp
+++ b/src/proxy/replica_directory.hpp
@@ -67,7 +67,8 @@
     /// The same time when many records disappear at once. That indicates an outage of the store,
     /// after which live replicas register again within about two seconds.
     duration store_outage_grace{2200ms};
-    /// Time for which a run that was marked as leaving is remembered, also without its record.
+    /// Time for which a run that was marked as leaving or was removed is remembered, also without
+    /// its record.
     duration leaving_memory{600s};
     double store_outage_share{
         0.5}; ///< share of replicas withdrawn at once that indicates an outage
@@ -131,12 +132,19 @@
     [[nodiscard]] time_point first_seen(const version_id& version) const;
 
 private:
+    struct removed_run {
+        std::uint64_t started_ms{0};
+        time_point removed_at{};
+    };
+
     [[nodiscard]] upstream_spec spec_of(const replica_announcement& announcement) const;
 
     directory_settings settings_;
     std::map<failure_domain_id, region_id> regions_;
     std::map<upstream_id, entry> entries_;
     std::map<upstream_id, leaving_run> leaving_runs_;
+    /// Runs of replicas that were removed, so that a new one is recognized.
+    std::map<upstream_id, removed_run> removed_runs_;
     std::map<version_id, time_point> first_seen_;
     time_point burst_started_at_{}; ///< start of the current burst of withdrawals
     std::size_t burst_withdrawals_{0};
--- a/src/proxy/replica_directory_test.cpp
+++ b/src/proxy/replica_directory_test.cpp
@@ -70,6 +70,28 @@
     EXPECT_FALSE(usable("a")) << "A leaving replica never returns within the same run.";
 }
 
+// A replica that stops as planned removes its record before it starts again, and is then cold.
+TEST_F(replica_directory_test, start_is_seen_as_new_also_after_the_record_was_removed)
+{
+    announce(announcement("a"));
+    clock_.advance(5s);
+    directory_.withdraw(upstream_id{"a"}, clock_.now());
+    clock_.advance(5s);
+    ASSERT_FALSE(usable("a"));
+    announce(announcement("a", 200));
+    EXPECT_EQ(directory_.find(upstream_id{"a"})->started_at, clock_.now());
+}
+
+TEST_F(replica_directory_test, same_run_that_registers_again_is_no_new_start)
+{
+    announce(announcement("a"));
+    directory_.withdraw(upstream_id{"a"}, clock_.now());
+    clock_.advance(5s);
+    ASSERT_FALSE(usable("a"));
+    announce(announcement("a", 100, 2));
+    EXPECT_EQ(directory_.find(upstream_id{"a"})->started_at, time_point{});
+}
+
 TEST_F(replica_directory_test, restart_under_the_same_id_is_usable_and_restarts_the_sequence)
 {
     auto leaving = announcement("a", 100, 9);
