End the metric of running requests with the evacuation

Cause: evacuated_requests_running kept its last figure after the order was withdrawn, since only orders in force are updated.

Change: it is set to 0 when the order ends.

Measured: the new test fails without the change; unit tests 734 of 734.

--- a/src/proxy/allowed_domains_test.cpp
+++ b/src/proxy/allowed_domains_test.cpp
@@ -124,6 +124,24 @@
     EXPECT_EQ(place()->upstream.value, "app-a");
 }
 
+// A figure that stays after the withdrawal would tell the operator of requests that have ended.
+TEST_F(allowed_domains_test, metric_of_requests_in_an_evacuated_domain_ends_with_the_order)
+{
+    const auto request = vm_.request("/read/1");
+    const auto admitted = vm_.core.admit(request, vm_.clock.now());
+    const auto placed = vm_.core.place(*admitted, request, {}, vm_.clock.now());
+    ASSERT_TRUE(placed.has_value());
+    const auto domain = vm_.core.replicas().find(placed->upstream)->announcement.failure_domain;
+    auto& running =
+        vm_.counters.level("evacuated_requests_running", {{"failure_domain", domain.value}});
+    evacuate(domain.value);
+    vm_.core.tick(vm_.clock.now());
+    EXPECT_EQ(running.value(), 1);
+    evacuate(domain.value, false);
+    vm_.core.tick(vm_.clock.now());
+    EXPECT_EQ(running.value(), 0);
+}
+
 // A request that was placed before the order was read must not reach the domain after it.
 TEST_F(allowed_domains_test, evacuation_before_the_first_byte_withdraws_the_request)
 {
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -397,6 +397,7 @@
 void proxy_core::note_evacuation_ended(const failure_domain_id& domain, time_point now)
 {
     evacuation_ended_at_[domain] = now;
+    counters_.level("evacuated_requests_running", {{"failure_domain", domain.value}}).set(0);
 }
 
 bool proxy_core::may_use(const admission& admitted, const placement& placed, time_point now) const
