Keep rolled-back versions excluded at later roll-out orders

Cause: the tracker forgot the outcome of an order when the next one came, and the choice of software took every version with replicas other than the newest target for established.

Change: the tracker keeps outcomes by version with the number of their order, and reports between VMs carry them. Versions that were rolled back, or whose outcome is not known, are not established software. A rolled-back version serves only if nothing else can, as a rolled-back target did before.

--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t calibration_index = 20;
 constexpr std::size_t part_evidence_index = 21;
 constexpr std::size_t unreachable_index = 25;
+constexpr std::size_t outcomes_index = 26;
 
 json encode_loads(const std::vector<reported_load>& loads)
 {
@@ -44,8 +45,17 @@
     for (const auto& item : rollouts) {
         out.push_back({item.order.service, item.order.target, to_milliseconds(item.order.period),
                        to_milliseconds(item.age), name_of(item.state),
-                       item.published ? name_of(*item.published) : std::string_view{},
-                       item.reason});
+                       item.published ? name_of(*item.published) : std::string_view{}, item.reason,
+                       item.order.number});
+    }
+    return out;
+}
+
+json encode_outcomes(const std::vector<rollout_outcome>& outcomes)
+{
+    json out = json::array();
+    for (const auto& item : outcomes) {
+        out.push_back({item.service, item.software, item.order, name_of(item.state)});
     }
     return out;
 }
@@ -174,6 +184,7 @@
 bool decode_rollouts(const json& array, std::vector<reported_rollout>& out)
 {
     for (const auto& item : array) {
+        constexpr std::size_t number_index = 7;
         field_reader in{item};
         reported_rollout rollout;
         rollout.order.service = in.text();
@@ -183,6 +194,8 @@
         const auto state = parse_name<rollout_state>(in.text());
         rollout.published = parse_name<rollout_state>(in.text());
         rollout.reason = in.text();
+        // Absent in reports of earlier versions.
+        rollout.order.number = item.size() > number_index ? in.number() : 0;
         if (!in.complete() || !state) {
             return false;
         }
@@ -192,6 +205,24 @@
     return true;
 }
 
+bool decode_outcomes(const json& array, std::vector<rollout_outcome>& out)
+{
+    for (const auto& item : array) {
+        field_reader in{item};
+        rollout_outcome outcome;
+        outcome.service = in.text();
+        outcome.software = in.text();
+        outcome.order = in.number();
+        const auto state = parse_name<rollout_state>(in.text());
+        if (!in.complete() || !state) {
+            return false;
+        }
+        outcome.state = *state;
+        out.push_back(std::move(outcome));
+    }
+    return true;
+}
+
 bool decode_evidence(const json& array, std::vector<reported_evidence>& out)
 {
     for (const auto& item : array) {
@@ -374,7 +405,8 @@
                                        encode_quarantined(report.quarantined),
                                        encode_paces(report.paces),
                                        encode_leaving(report.leaving_replicas),
-                                       encode_unreachable(report.unreachable_replicas)}));
+                                       encode_unreachable(report.unreachable_replicas),
+                                       encode_outcomes(report.outcomes)}));
 }
 
 expected<peer_report> decode_peer_report(std::string_view data)
@@ -400,21 +432,22 @@
     report.replica_position = in.number();
     report.replica_age = milliseconds(in.integer());
     report.leaving = in.flag();
-    const bool lists_decoded = decode_received(in.array(), report.received) &&
-                               decode_loads(in.array(), report.loads) &&
-                               decode_rollouts(in.array(), report.rollouts) &&
-                               decode_evidence(in.array(), report.evidence) &&
-                               decode_sessions(in.array(), report.sessions) &&
-                               // Absent in reports of the previous version.
-                               (value->size() <= calibration_index ||
-                                decode_calibration(in.array(), report.calibration)) &&
-                               (value->size() <= part_evidence_index ||
-                                (decode_part_evidence(in.array(), report.part_evidence) &&
-                                 decode_quarantined(in.array(), report.quarantined) &&
-                                 decode_paces(in.array(), report.paces) &&
-                                 decode_leaving(in.array(), report.leaving_replicas))) &&
-                               (value->size() <= unreachable_index ||
-                                decode_unreachable(in.array(), report.unreachable_replicas));
+    const bool lists_decoded =
+        decode_received(in.array(), report.received) && decode_loads(in.array(), report.loads) &&
+        decode_rollouts(in.array(), report.rollouts) &&
+        decode_evidence(in.array(), report.evidence) &&
+        decode_sessions(in.array(), report.sessions) &&
+        // Absent in reports of the previous version.
+        (value->size() <= calibration_index ||
+         decode_calibration(in.array(), report.calibration)) &&
+        (value->size() <= part_evidence_index ||
+         (decode_part_evidence(in.array(), report.part_evidence) &&
+          decode_quarantined(in.array(), report.quarantined) &&
+          decode_paces(in.array(), report.paces) &&
+          decode_leaving(in.array(), report.leaving_replicas))) &&
+        (value->size() <= unreachable_index ||
+         decode_unreachable(in.array(), report.unreachable_replicas)) &&
+        (value->size() <= outcomes_index || decode_outcomes(in.array(), report.outcomes));
     if (!known || !scope || !lists_decoded || !in.complete()) {
         return tl::unexpected(malformed(step::peer, report_name));
     }
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -137,6 +137,8 @@
     std::vector<reported_pace> paces;
     std::vector<reported_leaving> leaving_replicas;
     std::vector<reported_unreachable> unreachable_replicas;
+    /// Of roll-outs that were followed by another order.
+    std::vector<rollout_outcome> outcomes;
 
     friend bool operator==(const peer_report&, const peer_report&) = default;
 };
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -26,7 +26,8 @@
     out.loads = {{upstream_id{"r1"}, 4}};
     out.rollouts = {
         {{"engine", "v2", 24s}, 3s, rollout_state::rolled_back, rollout_state::running, "errors"},
-        {{"app", "v3", 12s}, 1s, rollout_state::running, std::nullopt, ""}};
+        {{"app", "v3", 12s, 8}, 1s, rollout_state::running, std::nullopt, ""}};
+    out.outcomes = {{"app", "v2", 7, rollout_state::rolled_back}};
     out.evidence = {{version_id{"engine@v2#r"},
                      {.answers = 10, .errors = 2, .slow = 1, .paced = 6, .sluggish = 4}}};
     out.sessions = {{0xfedcba9876543210ULL, "v2", 40ms}};
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -531,16 +531,60 @@
 std::string proxy_core::software_without_rollout(const admission& admitted) const
 {
     const auto present = allowed_software(admitted);
-    std::vector<std::string> verified;
-    std::ranges::copy_if(present, std::back_inserter(verified), [&](const std::string& software) {
+    const auto select = [](const std::vector<std::string>& versions, const auto& accepts) {
+        std::vector<std::string> out;
+        std::ranges::copy_if(versions, std::back_inserter(out), accepts);
+        return out.empty() ? versions : out;
+    };
+    const auto usable = select(present, [&](const std::string& software) {
+        return !rollouts_.is_rolled_back(admitted.service, software);
+    });
+    const auto verified = select(usable, [&](const std::string& software) {
         return is_verified_software(admitted.service, software);
     });
-    if (verified.empty() || verified.size() == present.size()) {
+    if (verified.size() == present.size()) {
         return std::string{any_software};
     }
     return verified[admitted.affinity_hash % verified.size()];
 }
 
+// A version of an earlier order is no established software because it has replicas: one that was
+// rolled back gets requests only if nothing else can serve them, and one whose outcome is not known
+// only if there is no established software.
+std::vector<std::string>
+proxy_core::software_besides_target(const admission& admitted, const service_rollout& rollout,
+                                    const std::vector<std::string>& allowed) const
+{
+    const auto without = [](std::vector<std::string> versions, const auto& rejects) {
+        std::erase_if(versions, rejects);
+        return versions;
+    };
+    const auto is_target = [&](const std::string& software) {
+        return software == rollout.order().target;
+    };
+    const auto is_not_established = [&](const std::string& software) {
+        return is_target(software) || !rollouts_.is_established(admitted.service, software);
+    };
+    const auto is_rolled_back = [&](const std::string& software) {
+        return rollouts_.is_rolled_back(admitted.service, software);
+    };
+    const auto others = without(allowed, is_target);
+    const bool has_target = others.size() < allowed.size();
+    if (auto established = without(others, is_not_established); !established.empty()) {
+        return established;
+    }
+    if (auto undecided = without(others, is_rolled_back); !undecided.empty()) {
+        return undecided;
+    }
+    if (has_target && rollout.state() != rollout_state::rolled_back) {
+        return {};
+    }
+    // Established software outside the allowed domains gives no reason to use a version that was
+    // rolled back.
+    auto elsewhere = without(directory_.software_versions_of(admitted.service), is_not_established);
+    return !elsewhere.empty() || has_target ? elsewhere : others;
+}
+
 std::string proxy_core::choose_software(const admission& admitted, const proxied_request& request,
                                         const send_history& history, time_point now) const
 {
@@ -549,15 +593,11 @@
         return software_without_rollout(admitted);
     }
     const std::string& target = rollout->order().target;
-    auto present = allowed_software(admitted);
-    const bool has_target = std::erase(present, target) > 0;
+    const auto allowed = allowed_software(admitted);
+    const bool has_target = std::ranges::count(allowed, target) > 0;
     const rollout_state state = rollout->state();
-    if (present.empty() && state == rollout_state::rolled_back) {
-        // Established software outside the allowed domains gives no reason to use the target.
-        present = directory_.software_versions_of(admitted.service);
-        std::erase(present, target);
-    }
     const auto old_software = [&]() -> std::string {
+        const auto present = software_besides_target(admitted, *rollout, allowed);
         return present.empty() ? target : present[admitted.affinity_hash % present.size()];
     };
     if (state == rollout_state::rolled_back || !has_target) {
@@ -566,7 +606,8 @@
     if (state == rollout_state::complete) {
         return target;
     }
-    if (!history.software.empty() && history.software != any_software) {
+    const bool pinned = !history.software.empty() && history.software != any_software;
+    if (pinned && !rollouts_.is_rolled_back(admitted.service, history.software)) {
         return history.software;
     }
     const std::string* known =
@@ -777,8 +818,9 @@
     engine_key established = placed.engine;
     if (placed.on_trial) {
         const auto present = directory_.software_versions_of(placed.engine.service);
-        const auto old =
-            std::ranges::find_if(present, [&](const auto& it) { return it != placed.software; });
+        const auto old = std::ranges::find_if(present, [&](const auto& it) {
+            return rollouts_.is_established(placed.engine.service, it);
+        });
         if (old == present.end()) {
             return false;
         }
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -366,6 +366,11 @@
     [[nodiscard]] std::optional<cold_limiter::replica>
     cold_target(const replica_directory::entry& entry) const;
     void note_evacuation_ended(const failure_domain_id& domain, time_point now);
+    /// Versions for requests that do not go to the target; empty if only the target can serve them.
+    /// `allowed`: allowed_software() of the request.
+    [[nodiscard]] std::vector<std::string>
+    software_besides_target(const admission& admitted, const service_rollout& rollout,
+                            const std::vector<std::string>& allowed) const;
     [[nodiscard]] std::string choose_software(const admission& admitted,
                                               const proxied_request& request,
                                               const send_history& history, time_point now) const;
--- a/src/proxy/proxy_core_state.cpp
+++ b/src/proxy/proxy_core_state.cpp
@@ -239,6 +239,16 @@
         link_.set_rate(settings_.link_bytes_per_second / sharing_vms(), now);
     }
     sessions_.sweep(now);
+    // A record counts even if its replica is leaving: until it has gone, the store may list the
+    // version again after an outage.
+    rollouts_.sweep(
+        [this](const std::string& service, const std::string& software) {
+            return std::ranges::any_of(directory_.entries(), [&](const auto& item) {
+                const replica_announcement& replica = item.second.announcement;
+                return replica.service == service && replica.software == software;
+            });
+        },
+        now);
     refresh_cold_replicas(now);
     if (directory_.tick(now)) {
         refresh_pool(now);
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -255,6 +255,175 @@
     }
 }
 
+// Guards against counting a rolled-back version as established software at the next order, which
+// gave it half of the traffic (review/5).
+class superseded_rollout_test : public proxy_core_test {
+protected:
+    void SetUp() override { order_rollout(); }
+
+    void order(const std::string& software, revision number)
+    {
+        for (const char* domain : {"a", "b", "c"}) {
+            deployment_.announce(make_replica(software + "-" + domain, "engine", domain, software));
+        }
+        deployment_.core.rollouts().order({"engine", software, 20s, number},
+                                          deployment_.clock.now());
+        deployment_.core.tick(deployment_.clock.now());
+    }
+    void publish(const std::string& software, rollout_state state)
+    {
+        deployment_.core.rollouts().note_published("engine", software, state);
+    }
+    /// Versions that serve new sessions.
+    std::set<std::string> versions_in_use()
+    {
+        std::set<std::string> out;
+        for (int i = 0; i < 200; ++i) {
+            out.insert(software_for("u" + std::to_string(next_session_++)));
+        }
+        return out;
+    }
+    void remove_replicas_of(const std::string& software)
+    {
+        std::vector<upstream_id> ids;
+        for (const auto& [id, entry] : deployment_.core.replicas().entries()) {
+            if (entry.announcement.service == "engine" && entry.announcement.software == software) {
+                ids.push_back(id);
+            }
+        }
+        for (const auto& id : ids) {
+            deployment_.core.replicas().withdraw(id, deployment_.clock.now());
+        }
+        advance_with_confirmation(5s);
+    }
+
+    using versions = std::set<std::string>;
+    int next_session_{0};
+};
+
+TEST_F(superseded_rollout_test, rolled_back_version_gets_nothing_at_later_orders)
+{
+    publish("v2", rollout_state::rolled_back);
+    deployment_.core.rollouts().order({"engine", "v3", 20s, 2}, deployment_.clock.now());
+    EXPECT_EQ(versions_in_use(), versions{"v1"}) << "No replica of v3 is known yet.";
+    order("v3", 2);
+    publish("v3", rollout_state::running);
+    EXPECT_EQ(versions_in_use(), (versions{"v1", "v3"}));
+    publish("v3", rollout_state::rolled_back);
+    EXPECT_EQ(versions_in_use(), versions{"v1"});
+    order("v4", 3);
+    publish("v4", rollout_state::running);
+    EXPECT_EQ(versions_in_use(), (versions{"v1", "v4"}));
+}
+
+TEST_F(superseded_rollout_test, unpublished_halt_outlasts_the_next_order)
+{
+    auto report =
+        proxy_deployment{"vm-2"}.core.make_report(report_scope::vm, deployment_.clock.now());
+    report.rollouts = {
+        {{"engine", "v2", 20s}, 1s, rollout_state::rolled_back, std::nullopt, "bad"}};
+    ASSERT_TRUE(deployment_.core.take_report(report, deployment_.clock.now()));
+    order("v3", 2);
+    EXPECT_EQ(versions_in_use(), versions{"v1"});
+}
+
+// A VM may learn of an order before it learns how the one before ended, or that one may never end.
+TEST_F(superseded_rollout_test, version_whose_outcome_is_unknown_gets_nothing_until_it_is_known)
+{
+    order("v3", 2);
+    EXPECT_EQ(versions_in_use(), versions{"v1"});
+    proxy_deployment other{"vm-2"};
+    auto report = other.core.make_report(report_scope::vm, deployment_.clock.now());
+    report.outcomes = {{"engine", "v2", 1, rollout_state::complete}};
+    ASSERT_TRUE(deployment_.core.take_report(report, deployment_.clock.now()));
+    EXPECT_EQ(versions_in_use(), (versions{"v1", "v2"}));
+}
+
+TEST_F(superseded_rollout_test,
+       outcome_of_an_earlier_order_is_taken_from_the_store_and_from_reports)
+{
+    for (const bool by_report : {false, true}) {
+        // A VM that starts late knows neither the earlier order nor its outcome.
+        proxy_deployment other{"vm-2"};
+        for (const char* version : {"v2", "v3"}) {
+            other.announce(make_replica(std::string{"x-"} + version, "engine", "a", version));
+        }
+        other.core.rollouts().order({"engine", "v3", 20s, 2}, other.clock.now());
+        if (by_report) {
+            publish("v2", rollout_state::rolled_back);
+            order("v3", 2);
+            const auto report =
+                deployment_.core.make_report(report_scope::vm, deployment_.clock.now());
+            ASSERT_TRUE(other.core.take_report(report, other.clock.now()));
+        }
+        else {
+            other.core.rollouts().note_published("engine", "v2", rollout_state::rolled_back);
+        }
+        other.core.tick(other.clock.now());
+        EXPECT_TRUE(other.core.rollouts().is_rolled_back("engine", "v2"));
+        EXPECT_FALSE(other.core.rollouts().is_established("engine", "v2"));
+        EXPECT_TRUE(other.core.rollouts().is_established("engine", "v1"));
+    }
+}
+
+TEST_F(superseded_rollout_test, rolled_back_version_is_excluded_while_no_order_is_known)
+{
+    proxy_deployment other{"vm-2"};
+    other.announce(make_replica("x", "engine", "a", "v2"));
+    other.core.rollouts().note_outcome({"engine", "v2", 1, rollout_state::rolled_back});
+    other.core.tick(other.clock.now());
+    for (int i = 0; i < 50; ++i) {
+        auto request = other.request("/report/1", "s" + std::to_string(i));
+        const auto admitted = other.core.admit(request, other.clock.now());
+        const auto placed = other.core.place(*admitted, request, {}, other.clock.now());
+        ASSERT_TRUE(placed.has_value());
+        EXPECT_EQ(placed->software, "v1");
+        other.core.finish(*placed, {}, other.clock.now());
+    }
+}
+
+TEST_F(superseded_rollout_test, rolled_back_version_serves_only_if_no_other_has_replicas)
+{
+    publish("v2", rollout_state::rolled_back);
+    order("v3", 2);
+    remove_replicas_of("v1");
+    EXPECT_EQ(versions_in_use(), versions{"v3"});
+    remove_replicas_of("v3");
+    EXPECT_EQ(versions_in_use(), versions{"v2"});
+}
+
+TEST_F(superseded_rollout_test, retry_does_not_stay_at_a_version_that_was_rolled_back)
+{
+    publish("v2", rollout_state::rolled_back);
+    order("v3", 2);
+    publish("v3", rollout_state::running);
+    send_history history;
+    history.software = "v2";
+    auto request = deployment_.request("/report/1", "s");
+    const auto admitted = deployment_.core.admit(request, deployment_.clock.now());
+    const auto placed =
+        deployment_.core.place(*admitted, request, history, deployment_.clock.now());
+    ASSERT_TRUE(placed.has_value());
+    EXPECT_NE(placed->software, "v2");
+}
+
+TEST_F(superseded_rollout_test, exclusion_ends_some_time_after_the_last_replica_has_gone)
+{
+    publish("v2", rollout_state::rolled_back);
+    order("v3", 2);
+    for (int i = 0; i < 20; ++i) {
+        advance_with_confirmation(60s);
+    }
+    EXPECT_TRUE(deployment_.core.rollouts().is_rolled_back("engine", "v2"))
+        << "Replicas of the version are still there.";
+    remove_replicas_of("v2");
+    advance_with_confirmation(10s);
+    EXPECT_TRUE(
+        deployment_.core.make_report(report_scope::vm, deployment_.clock.now()).outcomes.empty());
+    advance_with_confirmation(600s);
+    EXPECT_FALSE(deployment_.core.rollouts().is_rolled_back("engine", "v2"));
+}
+
 // A version several times slower than the established one may still answer within the target.
 TEST_F(proxy_core_test, answer_is_slow_when_it_takes_several_times_as_long_as_established_software)
 {
--- a/src/proxy/rollout_tracker.cpp
+++ b/src/proxy/rollout_tracker.cpp
@@ -13,6 +13,13 @@
 constexpr duration publish_delay_per_rank = 700ms;
 /// Interval at which a publication is repeated until it appears in the store.
 constexpr duration publish_retry_interval = 1s;
+/// Time after the last sight of a replica for which an outcome is kept. Longer than outages of the
+/// store, in which the records of live replicas may lapse.
+constexpr duration outcome_memory = 600s;
+/// Time after the last sight of a replica for which an outcome is reported. Much shorter than
+/// `outcome_memory`, so that VMs do not remind each other of what all of them would forget.
+constexpr duration outcome_report_time = 5s;
+constexpr duration sweep_interval = 1s;
 /// Denotes the group of all requests to a service.
 constexpr std::string_view all_routes;
 
@@ -33,8 +40,13 @@
 void rollout_tracker::order(const rollout_order& order, time_point now)
 {
     const auto it = rollouts_.find(order.service);
-    if (it != rollouts_.end() && it->second.order() == order) {
-        return;
+    if (it != rollouts_.end()) {
+        const rollout_order& known = it->second.order();
+        if (is_same_order(known, order)) {
+            it->second.note_order_number(order.number);
+            return;
+        }
+        keep_outcome({order.service, known.target, known.number, it->second.state()});
     }
     rollouts_.erase(order.service);
     rollouts_.emplace(order.service, service_rollout{order, now, settings_});
@@ -43,6 +55,89 @@
     domain_paces_.erase(order.service);
 }
 
+const rollout_tracker::past_outcome* rollout_tracker::find_past(const std::string& service,
+                                                                const std::string& software) const
+{
+    const auto versions = past_.find(service);
+    if (versions == past_.end()) {
+        return nullptr;
+    }
+    const auto it = versions->second.find(software);
+    return it == versions->second.end() ? nullptr : &it->second;
+}
+
+// Outcomes of a later order prevail; among those of one order a halt does, as among VMs.
+void rollout_tracker::keep_outcome(const rollout_outcome& outcome)
+{
+    auto& versions = past_[outcome.service];
+    const auto [it, added] =
+        versions.try_emplace(outcome.software, past_outcome{outcome.order, outcome.state, {}});
+    past_outcome& known = it->second;
+    if (added || outcome.order < known.order) {
+        return;
+    }
+    const bool prevails = outcome.order > known.order || known.state == rollout_state::running ||
+                          outcome.state == rollout_state::rolled_back;
+    if (prevails) {
+        known.order = outcome.order;
+        known.state = outcome.state;
+    }
+}
+
+void rollout_tracker::note_outcome(const rollout_outcome& outcome)
+{
+    if (outcome.state == rollout_state::running) {
+        return;
+    }
+    const auto it = rollouts_.find(outcome.service);
+    const bool newest = it != rollouts_.end() && outcome.order != 0 &&
+                        it->second.order().target == outcome.software &&
+                        it->second.order().number == outcome.order;
+    if (newest) {
+        it->second.note_decided(outcome.state, "Another VM knows this outcome.");
+        return;
+    }
+    keep_outcome(outcome);
+}
+
+bool rollout_tracker::is_rolled_back(const std::string& service, const std::string& software) const
+{
+    if (const auto* rollout = find(service); rollout && rollout->order().target == software) {
+        return rollout->state() == rollout_state::rolled_back;
+    }
+    const past_outcome* past = find_past(service, software);
+    return past != nullptr && past->state == rollout_state::rolled_back;
+}
+
+bool rollout_tracker::is_established(const std::string& service, const std::string& software) const
+{
+    if (const auto* rollout = find(service); rollout && rollout->order().target == software) {
+        return rollout->state() == rollout_state::complete;
+    }
+    const past_outcome* past = find_past(service, software);
+    return past == nullptr || past->state == rollout_state::complete;
+}
+
+void rollout_tracker::sweep(
+    const std::function<bool(const std::string& service, const std::string& software)>& has_replica,
+    time_point now)
+{
+    if (now - swept_at_ < sweep_interval) {
+        return;
+    }
+    swept_at_ = now;
+    for (auto& [service, versions] : past_) {
+        for (auto& [software, past] : versions) {
+            if (past.replica_seen_at == time_point{} || has_replica(service, software)) {
+                past.replica_seen_at = now;
+            }
+        }
+        std::erase_if(versions, [now](const auto& item) {
+            return now - item.second.replica_seen_at > outcome_memory;
+        });
+    }
+}
+
 service_rollout* rollout_tracker::find(const std::string& service, const std::string& target)
 {
     const auto it = rollouts_.find(service);
@@ -61,7 +156,11 @@
 {
     if (auto* rollout = find(service, target)) {
         rollout->note_published(state);
+        return;
     }
+    const past_outcome* past = find_past(service, target);
+    const bool unknown = past != nullptr && past->state == rollout_state::running;
+    note_outcome({service, target, unknown ? past->order : 0, state});
 }
 
 void rollout_tracker::note_age(const std::string& service, const std::string& target, duration age,
@@ -92,7 +191,8 @@
     }
     for (const auto& item : report.rollouts) {
         const auto it = rollouts_.find(item.order.service);
-        if (it == rollouts_.end() || it->second.order() != item.order) {
+        if (it == rollouts_.end() || !is_same_order(it->second.order(), item.order)) {
+            note_outcome({item.order.service, item.order.target, item.order.number, item.state});
             continue;
         }
         it->second.note_age(item.age, now);
@@ -101,6 +201,9 @@
         }
         it->second.note_decided(item.state, item.reason);
     }
+    for (const auto& outcome : report.outcomes) {
+        note_outcome(outcome);
+    }
 }
 
 void rollout_tracker::fill(peer_report& report, time_point now) const
@@ -117,6 +220,15 @@
             report.paces.push_back({service, *fastest});
         }
     }
+    for (const auto& [service, versions] : past_) {
+        for (const auto& [software, past] : versions) {
+            const bool recent = past.replica_seen_at == time_point{} ||
+                                now - past.replica_seen_at <= outcome_report_time;
+            if (recent && past.state != rollout_state::running) {
+                report.outcomes.push_back({service, software, past.order, past.state});
+            }
+        }
+    }
     if (report.scope == report_scope::vm) {
         for (const auto& [group, counts] : own_evidence_) {
             if (is_under_evaluation(group)) {
@@ -195,10 +307,7 @@
     if (fastest && baseline_pace.is_lightly_loaded(answer.quality.load)) {
         pace.sluggish = baseline_pace.is_sluggish(*interval, *fastest);
     }
-    const service_rollout* rollout = find(answer.service);
-    const bool on_trial = rollout != nullptr && rollout->state() != rollout_state::complete &&
-                          rollout->order().target == answer.software;
-    if (!on_trial) {
+    if (is_established(answer.service, answer.software)) {
         baseline_pace.note(*interval, answer.quality.load);
     }
     return pace;
@@ -231,6 +340,9 @@
         const version_counts counts = total(evidence_group(candidate, route));
         version_counts baseline;
         for (const auto& software : context.old_software) {
+            if (!is_established(service, software)) {
+                continue;
+            }
             baseline += total(evidence_group(software_version_id(service, software), route));
         }
         const auto verdict = rollout.evaluate(counts, baseline);
--- a/src/proxy/rollout_tracker.hpp
+++ b/src/proxy/rollout_tracker.hpp
@@ -22,6 +22,7 @@
 //   tracker.note_answer({"engine", "v2", "reports", {.failed = false, .slow = true}});
 //   tracker.evaluate(routes, context, now);
 //   for (const auto& it : tracker.publications(rank, now)) { write(it); }
+//   if (tracker.is_rolled_back("engine", "v1")) { ... }      // by an earlier order
 
 namespace wagtailhitch {
 
@@ -58,8 +59,13 @@
 public:
     rollout_tracker(process_id self, service_rollout_settings settings);
 
+    /// Applies an order. The outcome of the order before, or that it is not known, is kept.
     void order(const rollout_order& order, time_point now);
+    /// Applies the state that the store holds for a service. A final state of another target than
+    /// that of the newest known order is the outcome of another order.
     void note_published(const std::string& service, const std::string& target, rollout_state state);
+    /// Applies the outcome of an order, which may be the newest known one or another.
+    void note_outcome(const rollout_outcome& outcome);
     /// Sets the minimum age of the order.
     void note_age(const std::string& service, const std::string& target, duration age,
                   time_point now);
@@ -82,11 +88,36 @@
     /// before this one.
     std::vector<rollout_publication> publications(std::size_t rank, time_point now);
 
+    /// Whether the version was rolled back and has not been ordered again since. It stays excluded
+    /// at all later orders until its last replica has gone.
+    [[nodiscard]] bool is_rolled_back(const std::string& service,
+                                      const std::string& software) const;
+    /// Whether the version neither was rolled back nor is the target of a roll-out without a known
+    /// good outcome.
+    [[nodiscard]] bool is_established(const std::string& service,
+                                      const std::string& software) const;
+    /// Forgets the outcomes for versions that have had no replica for some time. `has_replica`:
+    /// whether a record of any replica of the version is known.
+    void sweep(const std::function<bool(const std::string& service, const std::string& software)>&
+                   has_replica,
+               time_point now);
+
     [[nodiscard]] const service_rollout* find(const std::string& service) const;
     [[nodiscard]] const service_rollout_settings& settings() const { return settings_; }
 
 private:
     [[nodiscard]] service_rollout* find(const std::string& service, const std::string& target);
+    /// The last outcome of a version, by an order that others have followed.
+    struct past_outcome {
+        revision order{0};
+        rollout_state state{rollout_state::running};
+        time_point replica_seen_at{}; ///< not set until the first sweep
+    };
+    [[nodiscard]] const past_outcome* find_past(const std::string& service,
+                                                const std::string& software) const;
+    void keep_outcome(const rollout_outcome& outcome);
+    /// Applies a kept outcome of this very order, which was learned before the order.
+    void apply_kept_outcome(service_rollout& rollout);
     [[nodiscard]] bool is_under_evaluation(const version_id& group) const;
     [[nodiscard]] version_counts total(const version_id& group) const;
     /// How the events of an answer compare with those of established software.
@@ -105,6 +136,9 @@
     process_id self_;
     service_rollout_settings settings_;
     std::map<std::string, service_rollout> rollouts_; ///< by service
+    /// By service and software.
+    std::map<std::string, std::map<std::string, past_outcome>> past_;
+    time_point swept_at_{};
     std::map<std::string, time_point> publication_due_;
     evidence_pool evidence_; ///< from this VM and the members of its domain
     std::map<failure_domain_id, std::map<version_id, version_counts>> domain_evidence_;
--- a/src/proxy/service_rollout.cpp
+++ b/src/proxy/service_rollout.cpp
@@ -13,6 +13,12 @@
 
 } // namespace
 
+bool is_same_order(const rollout_order& a, const rollout_order& b)
+{
+    const bool numbers_match = a.number == b.number || a.number == 0 || b.number == 0;
+    return numbers_match && a.service == b.service && a.target == b.target && a.period == b.period;
+}
+
 service_rollout::service_rollout(rollout_order order, time_point started_at,
                                  service_rollout_settings settings)
     : order_{std::move(order)}, started_at_{started_at}, settings_{settings}
--- a/src/proxy/service_rollout.hpp
+++ b/src/proxy/service_rollout.hpp
@@ -5,6 +5,7 @@
 #include "base/names.hpp"
 #include "rollout/evidence.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,10 +28,14 @@
     std::string service;
     std::string target; ///< software version to roll out
     duration period{};  ///< time from the order within which the roll-out must end
+    revision number{0}; ///< identifies the order and increases with each one; 0: not known
 
     friend bool operator==(const rollout_order&, const rollout_order&) = default;
 };
 
+/// Whether both are the same order. Orders whose number is not known are compared by the rest.
+bool is_same_order(const rollout_order& a, const rollout_order& b);
+
 enum class rollout_state { running, complete, rolled_back };
 
 template<>
@@ -40,6 +45,16 @@
     {rollout_state::rolled_back, "rolled_back"},
 }};
 
+/// How a roll-out that may have been followed by others has ended. `running`: not known.
+struct rollout_outcome {
+    std::string service;
+    std::string software; ///< the order's target
+    revision order{0};    ///< number of the order; 0: not known
+    rollout_state state{rollout_state::running};
+
+    friend bool operator==(const rollout_outcome&, const rollout_outcome&) = default;
+};
+
 struct service_rollout_settings {
     /// Share of the traffic that the new version gets during the trial. The trial and the phase
     /// with all traffic together stay below the bound on the traffic of a bad version.
@@ -62,6 +77,8 @@
     [[nodiscard]] const std::string& reason() const { return reason_; }
     [[nodiscard]] duration age(time_point now) const { return now - started_at_; }
 
+    /// Sets the number of the order, if it was not known or the same order was written again.
+    void note_order_number(revision number) { order_.number = std::max(order_.number, number); }
     /// Applies the age of the order as seen by another VM, which may have received it earlier.
     void note_age(duration age, time_point now);
     /// Applies the state that the store holds. Once a final state is known, it does not change.
