--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <csignal>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <thread>
 
@@ -88,6 +89,13 @@
     return kilobytes * 1024;
 }
 
+std::size_t child_process::open_descriptors() const
+{
+    std::error_code ec;
+    const std::filesystem::directory_iterator all{"/proc/" + std::to_string(pid_) + "/fd", ec};
+    return ec ? 0 : static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
 bool child_process::ended()
 {
     int status = 0;
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -48,6 +48,8 @@
     void send_signal(int number) const;
     /// Most memory that the process has used so far, in bytes; 0 when it is not known.
     [[nodiscard]] std::size_t peak_memory() const;
+    /// Number of open descriptors; 0 when it is not known.
+    [[nodiscard]] std::size_t open_descriptors() const;
     /// Whether the process has ended by itself or by a signal.
     [[nodiscard]] bool ended();
     /// Returns the exit code, or minus the number of the signal that ended the process.
