Bound the bytes of all callers of a proxying VM by one budget

Bodies (4 MiB for each connection) and heads had no common bound, what waited in the sockets of slow callers and of their replicas was not counted at all, and connections were not bounded by the VM's descriptors.

- A caller that is behind by more than 64 KiB pauses reading from its replica (http_call_handle::pause).
The pause counts neither as a stall nor as slowness of the replica.
Pipelined requests wait likewise.
- A caller that takes nothing of its answer for 20 s is closed; what it did not take is discarded with the connection.
- After a refusal at most 1 MiB is read for at most 1 s, so that the refusal reaches the caller.
- Sockets of callers and replicas get fixed buffers.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -35,8 +35,16 @@
 class exchange;
 
 struct connection {
-    explicit connection(asio::io_context& io) : socket{io.get_executor()} {}
+    connection(asio::io_context& io, std::shared_ptr<std::size_t> open_count)
+        : open{std::move(open_count)}, socket{io.get_executor()}
+    {
+        ++*open;
+    }
+    ~connection() { --*open; }
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
 
+    std::shared_ptr<std::size_t> open; ///< connections of the client
     tcp_socket socket;
     time_point idle_since;
     duration idle_limit{};
@@ -64,6 +72,20 @@
     set(IPPROTO_TCP, TCP_KEEPCNT, probes);
 }
 
+/// The size has to be set before the connection is opened to bound the window that is offered.
+void set_receive_buffer(tcp_socket& socket, const tcp::endpoint& peer, int bytes)
+{
+    if (bytes <= 0) {
+        return;
+    }
+    boost_error ec;
+    socket.open(peer.protocol(), ec);
+    if (!ec) {
+        // On failure the system's default stays in effect.
+        socket.set_option(asio::socket_base::receive_buffer_size{bytes}, ec);
+    }
+}
+
 /// The `timeout=N` value (seconds) of a Keep-Alive header, or nullopt.
 std::optional<duration> keep_alive_timeout(std::string_view text)
 {
@@ -130,13 +152,14 @@
 
 struct http_client::state : std::enable_shared_from_this<state> {
     state(asio::io_context& context, http_client_settings values, input_sender* inputs)
-        : io{context}, settings{values}, sender{inputs}, timer{context}
+        : io{context}, settings{std::move(values)}, sender{inputs}, timer{context}
     {
     }
 
     [[nodiscard]] bool congested() const { return sender != nullptr && sender->congested(); }
     connection_ptr take_idle_connection(const std::string& address, duration max_idle);
     void keep_idle_connection(const std::string& address, connection_ptr conn);
+    bool may_connect();
     void add_active(exchange* call);
     void schedule_sweep();
     void sweep();
@@ -153,6 +176,7 @@
     input_sender* sender;
     asio::steady_timer timer;
     std::uint64_t opened{0};
+    std::shared_ptr<std::size_t> open{std::make_shared<std::size_t>(0)};
     time_point next_expiry{};
     bool closed{false};
     std::unordered_set<exchange*> active;
@@ -173,6 +197,8 @@
 
     void begin();
     void cancel() override;
+    void pause() override { paused_ = true; }
+    void resume() override;
     /// Closes the connection when the deadline has passed; the pending operation then reports the
     /// timeout.
     void check_deadline(time_point now);
@@ -181,7 +207,7 @@
     void connect();
     void on_connected(boost_error ec);
     void write();
-    void fail_before_sending();
+    void fail_before_sending(const std::string& detail);
     void on_written(boost_error ec, std::size_t n);
     void read();
     void on_read(boost_error ec, std::size_t n);
@@ -216,6 +242,8 @@
     bool reused_{false};
     bool ended_{false};
     bool header_reported_{false};
+    bool paused_{false};
+    bool read_due_{false}; ///< once reading is resumed
 };
 
 exchange::exchange(std::shared_ptr<http_client::state> owner, http_call call, http_hooks hooks)
@@ -263,7 +291,11 @@
     stage_ = call_stage::connecting;
     deadline_ = std::min(clock_now() + owner_->settings.connect_timeout,
                          started_ + call_.first_byte_timeout);
-    connection_ = std::make_unique<connection>(owner_->io);
+    if (!owner_->may_connect()) {
+        fail_before_sending("No descriptor is left for a connection.");
+        return;
+    }
+    connection_ = std::make_unique<connection>(owner_->io, owner_->open);
     ++owner_->opened;
     const auto endpoint = parse_endpoint(call_.address);
     if (!endpoint) {
@@ -272,6 +304,7 @@
         });
         return;
     }
+    set_receive_buffer(connection_->socket, *endpoint, owner_->settings.receive_buffer);
     connection_->socket.async_connect(
         *endpoint, [self = shared_from_this()](boost_error ec) { self->on_connected(ec); });
 }
@@ -294,7 +327,7 @@
 void exchange::write()
 {
     if (hooks_.may_send && !hooks_.may_send()) {
-        fail_before_sending();
+        fail_before_sending("The request was withdrawn before it was sent.");
         return;
     }
     stage_ = call_stage::sending;
@@ -311,13 +344,11 @@
 }
 
 // Reports the failure later, since hooks must not run within http_client::start().
-void exchange::fail_before_sending()
+void exchange::fail_before_sending(const std::string& detail)
 {
     withdrawn_ = true;
     connection_.reset();
-    asio::post(owner_->io, [self = shared_from_this()] {
-        self->fail("The request was withdrawn before it was sent.");
-    });
+    asio::post(owner_->io, [self = shared_from_this(), detail] { self->fail(detail); });
 }
 
 void exchange::on_written(boost_error ec, std::size_t n)
@@ -345,6 +376,10 @@
     if (ended_) {
         return;
     }
+    if (paused_) {
+        read_due_ = true;
+        return;
+    }
     if (owner_->congested()) {
         owner_->sender->when_uncongested([self = shared_from_this()] { self->read(); });
         return;
@@ -354,6 +389,17 @@
         [self = shared_from_this()](boost_error ec, std::size_t n) { self->on_read(ec, n); });
 }
 
+void exchange::resume()
+{
+    if (ended_ || !std::exchange(paused_, false)) {
+        return;
+    }
+    deadline_ = clock_now() + call_.progress_timeout;
+    if (std::exchange(read_due_, false)) {
+        read();
+    }
+}
+
 void exchange::on_read(boost_error ec, std::size_t n)
 {
     if (ended_) {
@@ -519,7 +565,7 @@
 
 void exchange::check_deadline(time_point now)
 {
-    if (ended_ || timed_out_ || now < deadline_ || !connection_ || owner_->congested()) {
+    if (ended_ || timed_out_ || now < deadline_ || !connection_ || paused_ || owner_->congested()) {
         return;
     }
     timed_out_ = true;
@@ -566,6 +612,16 @@
     kept.push_back(std::move(conn));
 }
 
+// Idle connections are of less use than the call that needs one.
+bool http_client::state::may_connect()
+{
+    if (!settings.may_connect || settings.may_connect()) {
+        return true;
+    }
+    idle.clear();
+    return settings.may_connect();
+}
+
 void http_client::state::add_active(exchange* call)
 {
     const bool slow = active.empty();
@@ -614,7 +670,7 @@
 }
 
 http_client::http_client(asio::io_context& io, http_client_settings settings, input_sender* sender)
-    : state_{std::make_shared<state>(io, settings, sender)}
+    : state_{std::make_shared<state>(io, std::move(settings), sender)}
 {
 }
 
@@ -641,6 +697,11 @@
     state_->idle.erase(address);
 }
 
+std::size_t http_client::open_connections() const
+{
+    return *state_->open;
+}
+
 std::uint64_t http_client::connections_opened() const
 {
     return state_->opened;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -83,6 +83,12 @@
     /// The connection fails when sent data stays unacknowledged for longer, or when it is idle for
     /// that long and its peer does not answer keep-alive probes; 0: the system's defaults.
     duration unacknowledged_timeout{0};
+    /// Size in bytes that is asked for the receive buffer of a connection's socket, which bounds
+    /// what a paused call leaves there; 0: the system's default.
+    int receive_buffer{0};
+    /// Asked before a connection is opened. If it returns false, idle connections are closed and
+    /// the call fails with nothing written. Not set: always.
+    std::function<bool()> may_connect{};
 };
 
 class http_call_handle {
@@ -94,6 +100,10 @@
 
     /// Closes the connection; no hook runs afterwards.
     virtual void cancel() = 0;
+    /// Stops reading after the bytes that have been read, so that the server stops sending once the
+    /// connection's buffers are full. No deadline passes meanwhile.
+    virtual void pause() = 0;
+    virtual void resume() = 0;
 };
 
 using http_call_ptr = std::shared_ptr<http_call_handle>;
@@ -118,6 +128,8 @@
     void close_idle_connections(const std::string& address);
     /// Connections opened so far.
     [[nodiscard]] std::uint64_t connections_opened() const;
+    /// Connections that are open or being opened, idle ones as well.
+    [[nodiscard]] std::size_t open_connections() const;
 
     struct state;
 
--- a/src/net/proxy/proxied_connection.cpp
+++ b/src/net/proxy/proxied_connection.cpp
@@ -2,9 +2,11 @@
 
 #include "net/caller_text.hpp"
 
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <utility>
@@ -26,6 +28,10 @@
 /// A write buffer that had to grow beyond this is freed after the write.
 constexpr std::size_t kept_capacity = std::size_t{64} * 1024;
 
+/// Time after which a request that was refused for lack of memory may succeed: a caller that holds
+/// more is closed at once, and its memory is free then.
+constexpr duration memory_retry_after = 1s;
+
 std::string_view to_std(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -50,7 +56,8 @@
 
 proxied_connection::proxied_connection(proxy_server::state& owner, tcp_socket socket)
     : owner_{owner}, socket_{std::move(socket)},
-      opened_at_{owner.context.clock()}, backlog_{owner.context.buffers}
+      opened_at_{owner.context.clock()}, held_{owner.context.buffers, [this] { release_soon(); }},
+      write_progress_at_{opened_at_}, waiting_since_{opened_at_}
 {
 }
 
@@ -91,6 +98,8 @@
     parser_->header_limit(static_cast<std::uint32_t>(bounds.header_bytes));
     parser_->body_limit(bounds.body_bytes);
     head_checked_ = false;
+    body_bytes_ = 0;
+    waiting_since_ = owner_.context.clock();
     set_deadline(bounds.idle_timeout * idle_timeout_factor);
     if (!inbound_.empty()) {
         asio::post(socket_.get_executor(), [self = shared_from_this()] { self->process(); });
@@ -125,8 +134,130 @@
         close();
         return;
     }
+    if (refused_) {
+        discard(n);
+        return;
+    }
     inbound_.append(read_buffer_.data(), n);
     process();
+    count_bytes();
+}
+
+// Bytes beyond the limit stay in the socket until the connection is closed.
+void proxied_connection::discard(std::size_t n)
+{
+    discarded_ += n;
+    if (discarded_ <= owner_.settings.linger_bytes) {
+        read();
+    }
+}
+
+bool proxied_connection::behind() const
+{
+    return pending_.size() + in_flight_.size() - in_flight_sent_ > owner_.settings.pause_above;
+}
+
+void proxied_connection::count_bytes()
+{
+    if (closed_) {
+        return;
+    }
+    const std::size_t received = parser_ ? parser_->get().body().size() : 0;
+    held_.set(inbound_.size() + received + body_bytes_ + pending_.size() + in_flight_.size() +
+                  socket_bytes_,
+              owner_.context.clock());
+}
+
+void proxied_connection::watch()
+{
+    if (closed_) {
+        return;
+    }
+    boost_error ec;
+    const std::size_t unread = socket_.available(ec);
+    int unsent = 0;
+    if (::ioctl(socket_.native_handle(), SIOCOUTQ, &unsent) != 0) {
+        unsent = 0;
+    }
+    socket_bytes_ = (ec ? 0 : unread) + static_cast<std::size_t>(std::max(unsent, 0));
+    count_bytes();
+    if (writing_ && owner_.context.clock() - write_progress_at_ >= owner_.settings.write_timeout) {
+        owner_.context.counters.count("proxied_callers_slow_total").add();
+        owner_.report_limit("write_timeout", held_.size());
+        close_at_once();
+    }
+}
+
+std::optional<time_point> proxied_connection::waiting_since() const
+{
+    if (!lingering_ && busy()) {
+        return std::nullopt;
+    }
+    return waiting_since_;
+}
+
+// The budget asks while the bytes of some connection are being changed.
+void proxied_connection::release_soon()
+{
+    if (std::exchange(release_due_, true)) {
+        return;
+    }
+    asio::post(socket_.get_executor(), [self = weak_from_this()] {
+        if (const auto it = self.lock()) {
+            it->release_due_ = false;
+            it->release();
+        }
+    });
+}
+
+void proxied_connection::release()
+{
+    if (closed_ || held_.size() == 0) {
+        return;
+    }
+    owner_.report_limit("caller_memory", held_.size());
+    const bool receiving_body =
+        !answering_ && !close_after_write_ && parser_ && parser_->is_header_done();
+    if (receiving_body && !owner_.settings.page) {
+        refuse_for_memory();
+        return;
+    }
+    close_at_once();
+}
+
+void proxied_connection::refuse_for_memory()
+{
+    const proxied_request request = owner_.context.dialect.read_request(parser_->get());
+    const error reason{error_code::queue_full,
+                       step::parse,
+                       {},
+                       run_state::not_run,
+                       "The VM has no memory for the request's body.",
+                       memory_retry_after};
+    header_list fields;
+    owner_.context.dialect.write_refusal(request, reason, fields);
+    std::string headers;
+    for (const auto& [name, value] : fields) {
+        headers.append(name).append(": ").append(value).append("\r\n");
+    }
+    reject(status_of(reason), reason.detail, headers);
+}
+
+// Closing with unread bytes would reset the connection before the caller has read the refusal.
+void proxied_connection::linger()
+{
+    if (std::exchange(lingering_, true)) {
+        return;
+    }
+    boost_error ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    auto& deadlines = owner_.context.deadlines;
+    deadlines.cancel(deadline_);
+    deadline_ = deadlines.after(owner_.settings.linger_timeout, [self = weak_from_this()] {
+        if (const auto it = self.lock()) {
+            it->close();
+        }
+    });
 }
 
 void proxied_connection::process()
@@ -134,7 +265,7 @@
     if (closed_) {
         return;
     }
-    if (answering_ || close_after_write_) {
+    if (answering_ || close_after_write_ || next_is_due_) {
         // Keeps reading during the request in progress, to detect that the caller disconnects.
         read();
         return;
@@ -227,6 +358,10 @@
         const auto it = self.lock();
         return !it || !it->keep_alive_ || it->owner_.draining;
     };
+    sink.behind = [self] {
+        const auto it = self.lock();
+        return it && it->behind();
+    };
     sink.abort = [self] {
         if (const auto it = self.lock()) {
             it->close_after_write_ = true;
@@ -234,6 +369,8 @@
         }
     };
     std::string body = std::move(message.body());
+    body_bytes_ = body.size();
+    parser_.reset();
     exchange_ = std::make_shared<proxied_exchange>(owner_.context, std::move(message.base()),
                                                    std::move(body), body_framing, std::move(sink));
     const auto current = exchange_;
@@ -256,7 +393,7 @@
     answer_done();
 }
 
-void proxied_connection::reject(unsigned status, std::string_view why)
+void proxied_connection::reject(unsigned status, std::string_view why, std::string_view headers)
 {
     owner_.context.counters
         .count("proxied_requests_rejected_total", {{"status", std::to_string(status)}})
@@ -264,10 +401,19 @@
     owner_.context.log.write("request_rejected", {{"status", status}, {"detail", why}});
     std::string out;
     append_status_line(out, status);
+    out += headers;
     out += "Content-Length: 0\r\nConnection: close\r\n\r\n";
     answering_ = true;
     close_after_write_ = true;
+    refused_ = true;
+    // The parser may be in use by a caller of this function.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->parser_.reset();
+        self->inbound_ = {};
+        self->count_bytes();
+    });
     write(out);
+    read();
 }
 
 void proxied_connection::write(std::string_view bytes)
@@ -280,13 +426,14 @@
         writing_ ? std::min(owner_.settings.write_backlog, owner_.context.buffers.share())
                  : owner_.settings.write_backlog;
     pending_ += bytes;
-    backlog_.set(pending_.size() + in_flight_.size());
     if (pending_.size() > limit) {
         owner_.context.counters.count("proxied_callers_slow_total").add();
-        close();
+        owner_.report_limit("write_backlog", pending_.size());
+        close_at_once();
         return;
     }
     flush();
+    count_bytes();
 }
 
 void proxied_connection::flush()
@@ -295,40 +442,67 @@
         return;
     }
     if (pending_.empty()) {
-        if (close_after_write_) {
+        if (close_after_write_ && refused_) {
+            linger();
+        }
+        else if (close_after_write_) {
             close();
         }
         return;
     }
     writing_ = true;
     in_flight_.swap(pending_);
-    asio::async_write(
-        socket_, asio::buffer(in_flight_),
-        [self = shared_from_this()](boost_error ec, std::size_t /*n*/) { self->on_written(ec); });
+    in_flight_sent_ = 0;
+    write_progress_at_ = owner_.context.clock();
+    write_some();
 }
 
-void proxied_connection::on_written(boost_error ec)
+void proxied_connection::write_some()
+{
+    socket_.async_write_some(
+        asio::buffer(in_flight_) + in_flight_sent_,
+        [self = shared_from_this()](boost_error ec, std::size_t n) { self->on_written(ec, n); });
+}
+
+void proxied_connection::on_written(boost_error ec, std::size_t n)
 {
-    writing_ = false;
     if (closed_) {
         return;
     }
+    in_flight_sent_ += n;
+    if (!ec && in_flight_sent_ < in_flight_.size()) {
+        write_progress_at_ = owner_.context.clock();
+        write_some();
+        return;
+    }
+    writing_ = false;
     in_flight_.clear();
+    in_flight_sent_ = 0;
     if (in_flight_.capacity() > kept_capacity) {
         in_flight_ = {};
     }
-    backlog_.set(pending_.size());
     if (ec) {
         close();
         return;
     }
     flush();
+    count_bytes();
+    if (behind()) {
+        return;
+    }
+    if (std::exchange(next_is_due_, false)) {
+        next_request();
+    }
+    else if (const auto current = exchange_) {
+        current->on_caller_ready();
+    }
 }
 
 void proxied_connection::answer_done()
 {
     exchange_.reset();
     answering_ = false;
+    body_bytes_ = 0;
     if (closed_) {
         return;
     }
@@ -337,12 +511,16 @@
         flush();
         return;
     }
+    if (behind()) {
+        next_is_due_ = true;
+        return;
+    }
     next_request();
 }
 
 bool proxied_connection::receiving() const
 {
-    if (answering_ || close_after_write_) {
+    if (answering_ || close_after_write_ || next_is_due_) {
         return false;
     }
     if (!had_request_ && owner_.context.clock() - opened_at_ < first_request_wait) {
@@ -372,13 +550,24 @@
     }
 }
 
+void proxied_connection::close_at_once()
+{
+    if (closed_) {
+        return;
+    }
+    // Otherwise the system would keep what was not sent until the caller has read it.
+    boost_error ignored;
+    socket_.set_option(asio::socket_base::linger{true, 0}, ignored);
+    close();
+}
+
 void proxied_connection::close()
 {
     if (closed_) {
         return;
     }
     closed_ = true;
-    backlog_.set(0);
+    held_.clear();
     const auto self = shared_from_this();
     owner_.context.deadlines.cancel(deadline_);
     if (exchange_) {
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -304,12 +304,37 @@
     if (ended_) {
         return; // The caller's connection was closed by the write.
     }
+    pause_if_behind();
     buffered_.set(events_.partial_bytes());
     if (!within_limit || buffered_.exceeds_share()) {
         fail_oversized_answer(error_code::stream_broken, "An event exceeds the limit.");
     }
 }
 
+void proxied_exchange::pause_if_behind()
+{
+    if (!paused_at_ && call_ && sink_.behind && sink_.behind()) {
+        context_.counters.count("proxied_reading_paused_total").add();
+        paused_at_ = context_.clock();
+        call_->pause();
+    }
+}
+
+void proxied_exchange::on_caller_ready()
+{
+    if (ended_ || !paused_at_) {
+        return;
+    }
+    const time_point now = context_.clock();
+    flow_.note_reading_paused(now - *paused_at_);
+    // The silence was the caller's, so the replica has not stalled.
+    last_event_at_ = now;
+    paused_at_.reset();
+    if (call_) {
+        call_->resume();
+    }
+}
+
 void proxied_exchange::write_events(std::string_view events)
 {
     if (!head_written_) {
@@ -349,6 +374,7 @@
 {
     const auto keep_alive = shared_from_this();
     call_.reset();
+    paused_at_.reset();
     if (failure == nullptr && (relay_mode_ != relay_mode::stream || !events_.has_partial_event())) {
         finish_answer();
         return;
@@ -490,6 +516,9 @@
         return;
     }
     const time_point now = context_.clock();
+    if (paused_at_) {
+        last_event_at_ = now;
+    }
     if (now - last_event_at_ < flow_.stall_timeout()) {
         watch_for_stall();
         return;
@@ -521,6 +550,7 @@
 {
     context_.deadlines.cancel(pause_timer_);
     context_.deadlines.cancel(stall_timer_);
+    paused_at_.reset();
     if (call_) {
         call_->cancel();
         call_.reset();
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -39,6 +39,9 @@
     std::function<void()>
         abort; ///< closes the connection, so that the caller sees a truncated answer
     std::function<bool()> closes; ///< whether the connection is closed after the answer
+    /// Whether the caller is so far behind that no more should be read for it now; not set: never.
+    /// proxied_exchange::on_caller_ready() follows.
+    std::function<bool()> behind{};
 };
 
 /// How the answer's body is delimited on the caller's connection.
@@ -58,6 +61,8 @@
     void start();
     /// The caller closed its connection; the replica's work is cancelled.
     void on_caller_gone();
+    /// The caller has read what it was behind with.
+    void on_caller_ready();
     /// The VM ends: answers now, or breaks off an answer that has begun.
     void on_stop();
 
@@ -83,6 +88,7 @@
     void write_events(std::string_view events);
     void finish_answer();
     void on_deadline();
+    void pause_if_behind();
     void watch_for_stall();
     void on_stall();
     void cancel_call();
@@ -115,6 +121,7 @@
     bool has_deadline_{false};
     bool has_waited_{false}; ///< before the first attempt
     bool ended_{false};
+    std::optional<time_point> paused_at_; ///< reading waits for the caller
     // Of the last attempt, for the request_finished log line.
     std::string last_replica_;
     std::string last_model_;
--- a/src/net/proxy/proxy_server.cpp
+++ b/src/net/proxy/proxy_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace wagtailhitch {
@@ -17,6 +18,10 @@
 
 /// Delay after a failed accept, which usually means that file descriptors have run out.
 constexpr std::chrono::milliseconds accept_retry_delay{100};
+/// Interval at which the sockets of connections are looked at.
+constexpr duration watch_interval = 250ms;
+/// Shortest time between two log lines about limits.
+constexpr duration limit_log_interval = 1s;
 
 } // namespace
 
@@ -49,14 +54,74 @@
 
 void proxy_server::state::begin_connection(detail::tcp_socket socket)
 {
-    if (connections.size() >= settings.connection_limit) {
-        return;
+    const bool full = connections.size() >= settings.connection_limit ||
+                      (settings.descriptor_left && !settings.descriptor_left());
+    if (full) {
+        report_limit("connections", 0);
+        if (!close_waiting_connection()) {
+            return;
+        }
     }
     boost_error ignored;
     socket.set_option(detail::tcp::no_delay{true}, ignored);
+    if (settings.socket_buffer > 0) {
+        socket.set_option(asio::socket_base::send_buffer_size{settings.socket_buffer}, ignored);
+    }
     auto connection = std::make_shared<detail::proxied_connection>(*this, std::move(socket));
     connections.insert(connection);
     connection->begin();
+    if (!std::exchange(watching, true)) {
+        watch_connections();
+    }
+}
+
+bool proxy_server::state::close_waiting_connection()
+{
+    std::shared_ptr<detail::proxied_connection> longest;
+    time_point since = time_point::max();
+    for (const auto& it : connections) {
+        if (const auto waiting = it->waiting_since(); waiting && *waiting < since) {
+            longest = it;
+            since = *waiting;
+        }
+    }
+    if (longest) {
+        longest->close();
+    }
+    return longest != nullptr;
+}
+
+void proxy_server::state::watch_connections()
+{
+    if (connections.empty()) {
+        watching = false;
+        return;
+    }
+    const auto all = connections;
+    for (const auto& it : all) {
+        it->watch();
+    }
+    context.deadlines.after(watch_interval, [self = weak_from_this()] {
+        if (const auto it = self.lock()) {
+            it->watch_connections();
+        }
+    });
+}
+
+void proxy_server::state::report_limit(std::string_view limit, std::size_t bytes)
+{
+    context.counters.count("caller_limits_total", {{"limit", std::string{limit}}}).add();
+    const time_point now = context.clock();
+    if (limit_logged_at && now - *limit_logged_at < limit_log_interval) {
+        ++limits_unlogged;
+        return;
+    }
+    limit_logged_at = now;
+    context.log.write("caller_limit_applied", {{"limit", limit},
+                                               {"bytes", bytes},
+                                               {"held_bytes", context.buffers.used_by_callers()},
+                                               {"connections", connections.size()},
+                                               {"unlogged", std::exchange(limits_unlogged, 0)}});
 }
 
 proxy_server::proxy_server(proxy_context& context, proxy_server_settings settings)
@@ -79,6 +144,12 @@
     if (auto bound = detail::listen_on(state_->acceptor, state_->settings.address); !bound) {
         return bound;
     }
+    if (state_->settings.socket_buffer > 0) {
+        // Accepted sockets inherit the size; on failure the system's default stays in effect.
+        boost_error ignored;
+        state_->acceptor.set_option(
+            asio::socket_base::receive_buffer_size{state_->settings.socket_buffer}, ignored);
+    }
     state_->accept();
     return {};
 }
--- a/src/net/proxy/proxy_server.hpp
+++ b/src/net/proxy/proxy_server.hpp
@@ -30,10 +30,24 @@
     std::string address; ///< "IP:port"
     std::size_t connection_limit{
         3000}; ///< below a VM's limit of file descriptors, which replicas also need
+    /// Asked for a new connection: whether a descriptor is left for it. If not, the connection that
+    /// has waited for a request for the longest is closed. Not set: always.
+    std::function<bool()> descriptor_left{};
     /// Limit of pipelined bytes that wait for the request in progress.
     std::size_t read_ahead{std::size_t{64} * 1024};
     std::size_t write_backlog{std::size_t{8} * 1024 *
                               1024}; ///< bytes waiting for one caller that does not read
+    /// Bytes that wait for a caller, beyond which nothing more is read for it from its replica.
+    std::size_t pause_above{std::size_t{64} * 1024};
+    /// A caller that takes no byte of its answer for this long is closed.
+    duration write_timeout{20s};
+    /// After a refusal of a request that was not read to its end, at most this many bytes are read
+    /// for at most this long, so that the refusal reaches the caller.
+    std::size_t linger_bytes{std::size_t{1024} * 1024};
+    duration linger_timeout{1s};
+    /// Bytes that are asked for the send and for the receive buffer of a caller's socket; 0: the
+    /// system's default.
+    int socket_buffer{0};
     /// Set for pages: answers the request instead of proxying it; nullopt means 404.
     std::function<std::optional<served_page>(std::string_view method, std::string_view path)> page;
 };
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -140,6 +140,7 @@
     events_ = 0;
     head_at_.reset();
     first_event_at_.reset();
+    paused_ = duration{0};
     sent_at_ = now + pause;
     history_.tried.push_back(placed_->ticket.replica);
     history_.model = placed_->model;
@@ -325,7 +326,9 @@
     if (events_ < 2) {
         return std::nullopt;
     }
-    return (last_event_at_ - *first_event_at_) / static_cast<std::int64_t>(events_ - 1);
+    const duration streaming =
+        std::max<duration>(duration{0}, last_event_at_ - *first_event_at_ - paused_);
+    return streaming / static_cast<std::int64_t>(events_ - 1);
 }
 
 // A replica that crashes on a prompt does so when it begins the answer. One event may still arrive.
--- a/src/proxy/request_flow.hpp
+++ b/src/proxy/request_flow.hpp
@@ -99,6 +99,9 @@
     flow_step on_head(const response_head& head, time_point now);
     /// An event of a stream was passed to the caller.
     void on_event(std::optional<std::uint64_t> id, time_point now);
+    /// Reading from the replica was paused for this long, because the caller did not read. The time
+    /// does not count as the replica's.
+    void note_reading_paused(duration pause) { paused_ += pause; }
     /// Whether the caller has not yet received the event with this id.
     [[nodiscard]] bool is_new(std::optional<std::uint64_t> id) const;
     /// The current attempt ended without a complete response.
@@ -170,6 +173,7 @@
     time_point sent_at_;
     std::optional<time_point> head_at_;        ///< of the current attempt
     std::optional<time_point> first_event_at_; ///< of the current attempt
+    duration paused_{0};                       ///< of the current attempt, see note_reading_paused
     time_point last_event_at_;                 ///< of the current attempt
     std::optional<std::uint64_t> last_event_id_;
     std::string set_aside_;
