--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -114,7 +114,7 @@
     http_client(boost::asio::io_context& io, http_client_settings settings,
                 input_sender* sender = nullptr);
     http_client(boost::asio::io_context& io, http_client_settings settings, input_sender& sender)
-        : http_client{io, settings, &sender}
+        : http_client{io, std::move(settings), &sender}
     {
     }
     ~http_client();
--- a/src/proxy/buffer_budget_test.cpp
+++ b/src/proxy/buffer_budget_test.cpp
@@ -44,6 +44,74 @@
     EXPECT_FALSE(small.exceeds_share());
 }
 
+class caller_bytes_test : public ::testing::Test {
+protected:
+    /// A caller that notes that it was asked to release its bytes.
+    struct caller {
+        explicit caller(buffer_budget& budget) : held{budget, [this] { ++asked; }} {}
+        int asked{0};
+        caller_bytes held;
+    };
+
+    buffer_budget budget_{limit};
+    manual_clock clock_;
+};
+
+// Guards against closing whoever arrives last instead of whoever causes the shortage.
+TEST_F(caller_bytes_test, caller_with_the_most_bytes_for_the_longest_releases_first)
+{
+    caller early{budget_};
+    caller large{budget_};
+    caller small{budget_};
+    early.held.set(2'000'000, clock_.now());
+    clock_.advance(10s);
+    large.held.set(3'500'000, clock_.now());
+    clock_.advance(1s);
+    small.held.set(600'000, clock_.now());
+    EXPECT_EQ(early.asked, 1);
+    EXPECT_EQ(large.asked, 0);
+    EXPECT_EQ(small.asked, 0);
+}
+
+// Guards against refusing small requests while a few large bodies hold the memory.
+TEST_F(caller_bytes_test, small_request_finds_room_when_the_limit_is_used)
+{
+    caller large{budget_};
+    large.held.set(limit, clock_.now());
+    caller small{budget_};
+    small.held.set(1000, clock_.now());
+    EXPECT_EQ(large.asked, 1) << "It is asked once until it has released bytes.";
+    EXPECT_EQ(small.asked, 0);
+}
+
+TEST_F(caller_bytes_test, callers_leave_a_part_of_the_limit_to_answers)
+{
+    std::vector<std::unique_ptr<caller>> all;
+    for (int i = 0; i < 100; ++i) {
+        all.push_back(std::make_unique<caller>(budget_));
+        all.back()->held.set(limit / 20, clock_.now());
+        for (auto& it : all) {
+            if (it->asked > 0) {
+                it->held.clear();
+            }
+        }
+        EXPECT_LE(budget_.used_by_callers(), limit * 3 / 4);
+    }
+    EXPECT_GE(budget_.share(), limit / 4 / 8);
+}
+
+TEST_F(caller_bytes_test, bytes_that_were_released_in_part_count_again)
+{
+    caller first{budget_};
+    first.held.set(limit, clock_.now());
+    first.held.set(limit / 2, clock_.now());
+    EXPECT_EQ(budget_.used_by_callers(), limit / 2);
+    first.held.set(limit, clock_.now());
+    EXPECT_EQ(first.asked, 2);
+    first.held.clear();
+    EXPECT_EQ(budget_.used(), 0U);
+}
+
 // Guards against buffers that are bounded one by one and together exceed the VM's memory.
 RC_GTEST_PROP(buffer_budget_property, large_buffers_within_their_shares_stay_below_the_limit, ())
 {
