--- a/src/routing/cold_limiter_test.cpp
+++ b/src/routing/cold_limiter_test.cpp
@@ -130,6 +130,7 @@
     limiter.set_members({{domain_a, {address_of(0, 0)}}});
     clock_.advance(2s);
     std::vector<std::uint64_t> sends;
+    sends.reserve(40);
     for (int i = 0; i < 40; ++i) {
         sends.push_back(limiter.reserve(replica_id, clock_.now()));
     }
