Tell when replicas become cold or warm, and count the requests that wait for them

Cause: an operator saw the number of cold replicas only, and nothing told that a request waited or was refused because all replicas that it may use are cold.

--- a/src/proxy/cold_replicas_test.cpp
+++ b/src/proxy/cold_replicas_test.cpp
@@ -161,6 +161,25 @@
     EXPECT_TRUE(cold());
 }
 
+// Without these an operator cannot tell why a request waited.
+TEST_F(cold_replicas_test, changes_and_deferred_requests_are_told)
+{
+    auto& deferred = counters_.count("cold_requests_deferred_total", {{"reason", "all_cold"}});
+    EXPECT_TRUE(core_.take_cold_changes().empty());
+    announce("app-a", 100, 2s);
+    const auto turned_cold = core_.take_cold_changes();
+    ASSERT_EQ(turned_cold.size(), 1U);
+    EXPECT_EQ(turned_cold.front().replica.value, "app-a");
+    EXPECT_TRUE(turned_cold.front().cold);
+    place_all();
+    EXPECT_EQ(deferred.value(), 1U);
+    pass(2s);
+    const auto turned_warm = core_.take_cold_changes();
+    ASSERT_EQ(turned_warm.size(), 1U);
+    EXPECT_FALSE(turned_warm.front().cold);
+    EXPECT_TRUE(core_.take_cold_changes().empty());
+}
+
 TEST_F(cold_replicas_test, request_waits_for_the_share_instead_of_being_refused)
 {
     announce("app-a", 100, 5s);
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -751,6 +751,9 @@
     const auto chain = prefix_hash_chain(request, model.value_or(0));
     const auto chosen = choose_replica(admitted, request, history, software, model, chain, now);
     if (!chosen) {
+        if (has_only_cold_replicas(admitted, now)) {
+            counters_.count("cold_requests_deferred_total", {{"reason", "all_cold"}}).add();
+        }
         return tl::unexpected(domain_refusal(admitted).value_or(chosen.error()));
     }
     const replica_view& view = pool_.view(chosen->replica);
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -31,6 +31,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 // Decides on the proxied requests of one VM, and keeps the state that the decisions depend on. Uses
@@ -269,6 +270,16 @@
     /// The VMs that are registered in the store have been read.
     void note_vms_known() { vms_known_ = true; }
     [[nodiscard]] bool is_cold(const upstream_id& id, time_point now) const;
+    /// A replica that this VM takes for cold from now on, or no longer does.
+    struct cold_change {
+        upstream_id replica;
+        bool cold{false};
+    };
+    /// Returns the changes since the last call, as seen by tick().
+    [[nodiscard]] std::vector<cold_change> take_cold_changes()
+    {
+        return std::exchange(cold_changes_, {});
+    }
     /// Counts a request whose first byte is about to be written. Returns false if its replica has
     /// turned cold and takes no further request of this VM now.
     bool begin_send(const placement& placed, time_point now);
@@ -397,6 +408,8 @@
                                                       const proxied_request& request,
                                                       const choice& chosen, time_point now) const;
     void refresh_cold_replicas(time_point now);
+    /// Whether the request may use replicas, and all of them are cold.
+    [[nodiscard]] bool has_only_cold_replicas(const admission& admitted, time_point now) const;
     void publish_calibration(time_point now);
     void take_leaving(const peer_report& report, time_point now);
     void take_quarantine(const peer_report& report, time_point now);
@@ -443,6 +456,8 @@
     replica_chooser chooser_;
     prefix_index prefixes_;
     cold_limiter cold_;
+    std::set<upstream_id> cold_replicas_; ///< at the last tick
+    std::vector<cold_change> cold_changes_;
     bool vms_known_{false};
     std::map<failure_domain_id, time_point> evacuation_ended_at_;
     std::map<upstream_id, time_point> unreachable_at_; ///< latest failed connection
--- a/src/proxy/proxy_core_state.cpp
+++ b/src/proxy/proxy_core_state.cpp
@@ -278,12 +278,42 @@
     const bool bounded = catalog_ && std::ranges::any_of(catalog_->services(), [](const auto& it) {
                              return it.cold_rate > 0;
                          });
-    if (!bounded) {
+    if (!bounded && cold_replicas_.empty()) {
         return;
     }
-    const auto cold = std::ranges::count_if(
-        directory_.entries(), [&](const auto& item) { return is_cold(item.first, now); });
-    counters_.level("cold_replicas").set(static_cast<double>(cold));
+    std::set<upstream_id> cold;
+    for (const auto& [id, entry] : directory_.entries()) {
+        if (is_cold(id, now)) {
+            cold.insert(id);
+            if (!cold_replicas_.contains(id)) {
+                cold_changes_.push_back({id, true});
+            }
+        }
+    }
+    for (const auto& id : cold_replicas_) {
+        if (!cold.contains(id)) {
+            cold_changes_.push_back({id, false});
+        }
+    }
+    cold_replicas_ = std::move(cold);
+    counters_.level("cold_replicas").set(static_cast<double>(cold_replicas_.size()));
+}
+
+bool proxy_core::has_only_cold_replicas(const admission& admitted, time_point now) const
+{
+    bool found = false;
+    for (const auto& [id, entry] : directory_.entries()) {
+        if (entry.announcement.service != admitted.service ||
+            entry.presence == replica_presence::leaving ||
+            !allows_domain(admitted, entry.announcement.failure_domain)) {
+            continue;
+        }
+        if (!is_cold(id, now)) {
+            return false;
+        }
+        found = true;
+    }
+    return found;
 }
 
 void proxy_core::publish_calibration(time_point now)
