Store each roll-out outcome under its order

Cause: a VM that was suspended over a newer order could write the outcome of the older one over that order's state, since publish() compared targets only and the status record has one key for all orders. A restarted VM knew no outcome of an earlier order. An order of a version that was rolled back before could not be told from the earlier one, and was ignored or halted at once.

The evidence of a trial is counted by order, and a stored rollback of an earlier order of the same target is not taken for that of the newest.

--- a/src/proxy/rollout_tracker.cpp
+++ b/src/proxy/rollout_tracker.cpp
@@ -20,14 +20,18 @@
 /// `outcome_memory`, so that VMs do not remind each other of what all of them would forget.
 constexpr duration outcome_report_time = 5s;
 constexpr duration sweep_interval = 1s;
+constexpr std::string_view reported_reason = "Another VM knows this outcome.";
 /// Denotes the group of all requests to a service.
 constexpr std::string_view all_routes;
 
 /// Evidence is evaluated for a service as a whole and for each route, to detect versions that are
-/// bad for only one kind of request as well.
-version_id evidence_group(const version_id& version, std::string_view route)
+/// bad for only one kind of request as well. That of a trial is kept by order, so that a version
+/// that is ordered again is not halted by what its earlier trial showed. `order`: 0 for established
+/// software.
+version_id evidence_group(const version_id& version, revision order, std::string_view route)
 {
-    return version_id{version.value + "#" + std::string{route}};
+    const std::string trial = order == 0 ? std::string{} : "~" + std::to_string(order);
+    return version_id{version.value + trial + "#" + std::string{route}};
 }
 
 } // namespace
@@ -42,19 +46,34 @@
     const auto it = rollouts_.find(order.service);
     if (it != rollouts_.end()) {
         const rollout_order& known = it->second.order();
-        if (is_same_order(known, order)) {
+        rollout_order same = order;
+        same.number = known.number;
+        const bool repeats = order.number > known.number && known.number != 0 &&
+                             it->second.state() == rollout_state::rolled_back;
+        if (same == known && !repeats) {
             it->second.note_order_number(order.number);
+            apply_kept_outcome(it->second);
             return;
         }
         keep_outcome({order.service, known.target, known.number, it->second.state()});
     }
     rollouts_.erase(order.service);
-    rollouts_.emplace(order.service, service_rollout{order, now, settings_});
+    const auto added = rollouts_.emplace(order.service, service_rollout{order, now, settings_});
+    apply_kept_outcome(added.first->second);
     publication_due_.erase(order.service);
     member_paces_.erase(order.service);
     domain_paces_.erase(order.service);
 }
 
+void rollout_tracker::apply_kept_outcome(service_rollout& rollout)
+{
+    const rollout_order& order = rollout.order();
+    const past_outcome* past = find_past(order.service, order.target);
+    if (past != nullptr && order.number != 0 && past->order == order.number) {
+        rollout.note_decided(past->state, std::string{reported_reason});
+    }
+}
+
 const rollout_tracker::past_outcome* rollout_tracker::find_past(const std::string& service,
                                                                 const std::string& software) const
 {
@@ -94,12 +113,59 @@
                         it->second.order().target == outcome.software &&
                         it->second.order().number == outcome.order;
     if (newest) {
-        it->second.note_decided(outcome.state, "Another VM knows this outcome.");
+        it->second.note_decided(outcome.state, std::string{reported_reason});
         return;
     }
     keep_outcome(outcome);
 }
 
+void rollout_tracker::note_started(const std::string& service, revision order)
+{
+    revision& known = started_[service];
+    known = std::max(known, order);
+}
+
+bool rollout_tracker::is_earlier_state(const std::string& service, const std::string& target,
+                                       rollout_state state) const
+{
+    const service_rollout* rollout = find(service);
+    if (rollout == nullptr || rollout->order().target != target ||
+        state != rollout_state::rolled_back || rollout->published()) {
+        return false;
+    }
+    const revision number = rollout->order().number;
+    const auto started = started_.find(service);
+    const past_outcome* past = find_past(service, target);
+    return (started == started_.end() || started->second < number) && past != nullptr &&
+           past->state == rollout_state::rolled_back && past->order != 0 && past->order < number;
+}
+
+bool rollout_tracker::is_newest(const rollout_publication& publication) const
+{
+    const service_rollout* rollout = find(publication.service);
+    return rollout != nullptr && rollout->order().target == publication.target &&
+           rollout->order().number == publication.order;
+}
+
+std::vector<rollout_outcome> rollout_tracker::rolled_back() const
+{
+    std::vector<rollout_outcome> out;
+    for (const auto& [service, versions] : past_) {
+        for (const auto& [software, past] : versions) {
+            if (past.state == rollout_state::rolled_back) {
+                out.push_back({service, software, past.order, past.state});
+            }
+        }
+    }
+    for (const auto& [service, rollout] : rollouts_) {
+        if (rollout.published() == rollout_state::rolled_back) {
+            out.push_back({service, rollout.order().target, rollout.order().number,
+                           rollout_state::rolled_back});
+        }
+    }
+    return out;
+}
+
 bool rollout_tracker::is_rolled_back(const std::string& service, const std::string& software) const
 {
     if (const auto* rollout = find(service); rollout && rollout->order().target == software) {
@@ -155,7 +221,9 @@
                                      rollout_state state)
 {
     if (auto* rollout = find(service, target)) {
-        rollout->note_published(state);
+        if (!is_earlier_state(service, target, state)) {
+            rollout->note_published(state);
+        }
         return;
     }
     const past_outcome* past = find_past(service, target);
@@ -313,12 +381,21 @@
     return pace;
 }
 
+version_id rollout_tracker::group_of(const std::string& service, const std::string& software,
+                                     std::string_view route) const
+{
+    const service_rollout* rollout = find(service);
+    const bool on_trial = rollout != nullptr && rollout->order().target == software &&
+                          rollout->state() != rollout_state::complete;
+    return evidence_group(software_version_id(service, software),
+                          on_trial ? rollout->order().number : 0, route);
+}
+
 void rollout_tracker::note_answer(const observed_answer& answer)
 {
     const stream_pace pace = pace_of(answer);
     for (const std::string_view part : {all_routes, answer.route}) {
-        const version_id group =
-            evidence_group(software_version_id(answer.service, answer.software), part);
+        const version_id group = group_of(answer.service, answer.software, part);
         version_counts& counts = own_evidence_[group];
         ++counts.answers;
         counts.errors += answer.quality.failed ? 1 : 0;
@@ -334,16 +411,15 @@
                                       const std::vector<std::string>& routes,
                                       const rollout_context& context)
 {
-    const version_id candidate = software_version_id(service, rollout.order().target);
     bool in_doubt = false;
     const auto halts = [&](std::string_view route) {
-        const version_counts counts = total(evidence_group(candidate, route));
+        const version_counts counts = total(group_of(service, rollout.order().target, route));
         version_counts baseline;
         for (const auto& software : context.old_software) {
             if (!is_established(service, software)) {
                 continue;
             }
-            baseline += total(evidence_group(software_version_id(service, software), route));
+            baseline += total(group_of(service, software, route));
         }
         const auto verdict = rollout.evaluate(counts, baseline);
         in_doubt = in_doubt || verdict.in_doubt;
@@ -365,8 +441,7 @@
         const std::string& target = rollout.order().target;
         const rollout_context current_context = context(service, target);
         halted += evaluate_groups(service, rollout, routes, current_context) ? 1 : 0;
-        const auto answers =
-            total(evidence_group(software_version_id(service, target), all_routes)).answers;
+        const auto answers = total(group_of(service, target, all_routes)).answers;
         if (rollout.due(answers, current_context.old_in_flight, now) != rollout_state::running) {
             publication_due_.erase(service);
         }
@@ -384,7 +459,8 @@
         const auto [due, added] = publication_due_.try_emplace(service, now);
         if (now - due->second >= publish_delay_per_rank * static_cast<int>(rank)) {
             due->second = now + publish_retry_interval;
-            out.push_back({service, rollout.order().target, rollout.state(), rollout.reason()});
+            out.push_back({service, rollout.order().target, rollout.state(), rollout.reason(),
+                           rollout.order().number});
         }
     }
     return out;
--- a/src/proxy/rollout_tracker.hpp
+++ b/src/proxy/rollout_tracker.hpp
@@ -32,6 +32,7 @@
     std::string target;
     rollout_state state{rollout_state::running};
     std::string reason;
+    revision order{0}; ///< number of the order
 };
 
 /// Inputs to the evaluation of one service's roll-out besides the evidence.
@@ -59,7 +60,8 @@
 public:
     rollout_tracker(process_id self, service_rollout_settings settings);
 
-    /// Applies an order. The outcome of the order before, or that it is not known, is kept.
+    /// Applies an order. The outcome of the order before, or that it is not known, is kept. A
+    /// target that was rolled back is tried again when it is ordered again.
     void order(const rollout_order& order, time_point now);
     /// Applies the state that the store holds for a service. A final state of another target than
     /// that of the newest known order is the outcome of another order.
@@ -88,6 +90,16 @@
     /// before this one.
     std::vector<rollout_publication> publications(std::size_t rank, time_point now);
 
+    /// Notes that the running roll-out of this order was written to the store.
+    void note_started(const std::string& service, revision order);
+    /// Whether a state that the store holds is that of an earlier order of the same target: that
+    /// one was rolled back, and the newest one is not known to have been published yet.
+    [[nodiscard]] bool is_earlier_state(const std::string& service, const std::string& target,
+                                        rollout_state state) const;
+    /// Whether the publication is of the newest order that this VM knows.
+    [[nodiscard]] bool is_newest(const rollout_publication& publication) const;
+    /// Versions that were rolled back, by the newest or by earlier orders.
+    [[nodiscard]] std::vector<rollout_outcome> rolled_back() const;
     /// Whether the version was rolled back and has not been ordered again since. It stays excluded
     /// at all later orders until its last replica has gone.
     [[nodiscard]] bool is_rolled_back(const std::string& service,
@@ -118,6 +130,9 @@
     void keep_outcome(const rollout_outcome& outcome);
     /// Applies a kept outcome of this very order, which was learned before the order.
     void apply_kept_outcome(service_rollout& rollout);
+    /// The group in which answers of the software count now.
+    [[nodiscard]] version_id group_of(const std::string& service, const std::string& software,
+                                      std::string_view route) const;
     [[nodiscard]] bool is_under_evaluation(const version_id& group) const;
     [[nodiscard]] version_counts total(const version_id& group) const;
     /// How the events of an answer compare with those of established software.
@@ -138,6 +153,7 @@
     std::map<std::string, service_rollout> rollouts_; ///< by service
     /// By service and software.
     std::map<std::string, std::map<std::string, past_outcome>> past_;
+    std::map<std::string, revision> started_; ///< newest order known to be published, by service
     time_point swept_at_{};
     std::map<std::string, time_point> publication_due_;
     evidence_pool evidence_; ///< from this VM and the members of its domain
--- a/src/proxy/rollout_tracker_test.cpp
+++ b/src/proxy/rollout_tracker_test.cpp
@@ -146,6 +146,84 @@
     EXPECT_TRUE(report.paces.empty());
 }
 
+// Guards against an order of a version that was rolled back before having no effect: its record,
+// its state in the store and the evidence of its earlier trial equal those of the earlier order.
+TEST_F(rollout_tracker_test, version_ordered_again_after_it_was_rolled_back_is_tried_again)
+{
+    for (const bool other_order_between : {false, true}) {
+        rollout_tracker tracker{{vm_id{"vm-1"}, 1}, {}};
+        tracker.order({"engine", "v2", 20s, 1}, clock_.now());
+        tracker.note_published("engine", "v2", rollout_state::running);
+        const auto evaluate = [&] {
+            const auto context = [](const std::string&, const std::string&) {
+                return rollout_context{{"v1"}, 0};
+            };
+            tracker.evaluate({"reports"}, context, clock_.now());
+            return tracker.find("engine")->state();
+        };
+        for (int i = 0; i < 200; ++i) {
+            tracker.note_answer({"engine", "v1", "reports", {}});
+        }
+        for (int i = 0; i < 10; ++i) {
+            tracker.note_answer({"engine", "v2", "reports", {.failed = true}});
+        }
+        ASSERT_EQ(evaluate(), rollout_state::rolled_back);
+        tracker.note_published("engine", "v2", rollout_state::rolled_back);
+        tracker.order({"engine", "v2", 20s, 1}, clock_.now());
+        EXPECT_EQ(evaluate(), rollout_state::rolled_back) << "The same record was read again.";
+        if (other_order_between) {
+            tracker.order({"engine", "v3", 20s, 2}, clock_.now());
+        }
+        tracker.order({"engine", "v2", 20s, 3}, clock_.now());
+        EXPECT_FALSE(tracker.is_rolled_back("engine", "v2"));
+        EXPECT_TRUE(tracker.is_earlier_state("engine", "v2", rollout_state::rolled_back));
+        tracker.note_published("engine", "v2", rollout_state::rolled_back);
+        EXPECT_EQ(evaluate(), rollout_state::running) << "The state is that of the first order.";
+        EXPECT_EQ(tracker.publications(0, clock_.now()).size(), 1U);
+        tracker.note_published("engine", "v2", rollout_state::running);
+        EXPECT_EQ(evaluate(), rollout_state::running) << "The evidence is that of the first trial.";
+        tracker.note_published("engine", "v2", rollout_state::rolled_back);
+        EXPECT_TRUE(tracker.is_rolled_back("engine", "v2"));
+    }
+}
+
+TEST_F(rollout_tracker_test, state_of_a_started_repeated_order_is_not_taken_for_the_earlier_one)
+{
+    rollout_tracker tracker{{vm_id{"vm-1"}, 1}, {}};
+    tracker.note_outcome({"engine", "v2", 1, rollout_state::rolled_back});
+    tracker.order({"engine", "v2", 20s, 3}, clock_.now());
+    tracker.note_started("engine", 3);
+    tracker.note_published("engine", "v2", rollout_state::rolled_back);
+    EXPECT_TRUE(tracker.is_rolled_back("engine", "v2"));
+}
+
+// Guards against a VM that was paused over a newer order writing the outcome of the older one.
+TEST_F(rollout_tracker_test, publication_of_an_earlier_order_is_told_from_the_newest)
+{
+    rollout_tracker tracker{{vm_id{"vm-1"}, 1}, {}};
+    tracker.order({"engine", "v2", 20s, 1}, clock_.now());
+    const auto due = tracker.publications(0, clock_.now());
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_TRUE(tracker.is_newest(due[0]));
+    tracker.order({"engine", "v3", 20s, 2}, clock_.now());
+    EXPECT_FALSE(tracker.is_newest(due[0]));
+    tracker.note_outcome({"engine", "v3", 2, rollout_state::rolled_back});
+    EXPECT_TRUE(tracker.is_rolled_back("engine", "v3"));
+    tracker.order({"engine", "v2", 20s, 3}, clock_.now());
+    EXPECT_FALSE(tracker.is_newest(due[0])) << "The same target, but another order.";
+}
+
+// A restarted VM may read the outcome of an order before the order.
+TEST_F(rollout_tracker_test, outcome_read_before_its_order_applies_to_it)
+{
+    rollout_tracker tracker{{vm_id{"vm-1"}, 1}, {}};
+    tracker.note_outcome({"engine", "v2", 4, rollout_state::rolled_back});
+    tracker.order({"engine", "v2", 20s, 4}, clock_.now());
+    EXPECT_TRUE(tracker.is_rolled_back("engine", "v2"));
+    const auto outcomes = tracker.rolled_back();
+    EXPECT_EQ(outcomes.front(), (rollout_outcome{"engine", "v2", 4, rollout_state::rolled_back}));
+}
+
 TEST_F(rollout_tracker_test, failing_version_is_halted)
 {
     answer("v1", 200, {});
