Send late requests that may be repeated to a second replica within a limit

What callers saw: a few slow answers set the tail of the latencies, and a request waited for its first replica until the head timeout although others were idle.

Cause: only failures and timeouts led to another send; hedge_policy was not connected.

An overtaken attempt counts for its replica's slowness, and is billed with its prompt tokens if it was written.

--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -102,10 +102,8 @@
 
 proxied_exchange::~proxied_exchange()
 {
-    cancel_call();
+    cancel_calls();
     context_.deadlines.cancel(deadline_);
-    context_.deadlines.cancel(pause_timer_);
-    context_.deadlines.cancel(stall_timer_);
 }
 
 void proxied_exchange::start()
@@ -143,7 +141,7 @@
 
 void proxied_exchange::perform_step(const wait_step& step)
 {
-    cancel_call();
+    cancel_calls();
     drop_buffered();
     if (!std::exchange(has_waited_, true)) {
         context_.counters.count("proxied_requests_waited_total").add();
@@ -158,8 +156,23 @@
 
 void proxied_exchange::perform_step(send_step& step)
 {
-    cancel_call();
+    cancel_calls();
     drop_buffered();
+    log_sent(step);
+    watch_for_hedge(flow_.hedge_time());
+    if (step.pause <= duration{0}) {
+        send(step);
+        return;
+    }
+    pause_timer_ = context_.deadlines.after(step.pause, [self = weak_from_this(), step] {
+        if (const auto it = self.lock()) {
+            it->send(step);
+        }
+    });
+}
+
+void proxied_exchange::log_sent(const send_step& step)
+{
     last_replica_ = step.placed.upstream.value;
     last_model_ = step.model;
     context_.log.write(
@@ -174,15 +187,6 @@
          {"expected_first_ms", to_milliseconds(step.placed.expected_first_token)},
          {"config", flow_.admitted()->catalog->version()},
          {"config_age_ms", to_milliseconds(context_.core.configuration_age(context_.clock()))}});
-    if (step.pause <= duration{0}) {
-        send(step);
-        return;
-    }
-    pause_timer_ = context_.deadlines.after(step.pause, [self = weak_from_this(), step] {
-        if (const auto it = self.lock()) {
-            it->send(step);
-        }
-    });
 }
 
 detail::http_call proxied_exchange::make_call(const send_step& step) const
@@ -215,10 +219,11 @@
 void proxied_exchange::send(const send_step& step)
 {
     const auto self = weak_from_this();
+    const std::uint32_t attempt = step.attempt;
     detail::http_hooks hooks;
-    hooks.on_header = [self](detail::answer_head head) {
+    hooks.on_header = [self, attempt](detail::answer_head head) {
         if (const auto it = self.lock()) {
-            it->on_head(std::move(head));
+            it->on_head(attempt, std::move(head));
         }
     };
     hooks.on_data = [self](std::string_view bytes) {
@@ -226,21 +231,27 @@
             it->on_data(bytes);
         }
     };
-    hooks.on_end = [self](const detail::call_failure* failure) {
+    hooks.on_end = [self, attempt](const detail::call_failure* failure) {
         if (const auto it = self.lock()) {
-            it->on_end(failure);
+            it->on_end(attempt, failure);
         }
     };
-    hooks.may_send = [self] {
+    hooks.may_send = [self, attempt] {
         const auto it = self.lock();
-        return it && it->flow_.may_send(it->context_.clock());
+        if (!it) {
+            return false;
+        }
+        it->flow_.select(attempt);
+        return it->flow_.may_send(it->context_.clock());
     };
-    call_ = context_.upstreams.start(make_call(step), std::move(hooks));
+    calls_[attempt] = context_.upstreams.start(make_call(step), std::move(hooks));
 }
 
-void proxied_exchange::on_head(detail::answer_head head)
+void proxied_exchange::on_head(std::uint32_t attempt, detail::answer_head head)
 {
     const auto keep_alive = shared_from_this();
+    flow_.select(attempt);
+    event_attempt_ = attempt;
     response_head head_info = context_.dialect.read_head(head, flow_.request());
     head_info.on_reused_connection = head.on_reused_connection;
     last_confidence_ = head_info.confidence.value_or(-1);
@@ -255,8 +266,11 @@
     const std::string replica = flow_.placed() ? flow_.placed()->upstream.value : std::string{};
     auto step = flow_.on_head(head_info, context_.clock());
     log_set_aside(head_info, replica);
+    cancel_overtaken();
     if (std::holds_alternative<relay_step>(step)) {
         relay_mode_ = stream ? relay_mode::stream : relay_mode::whole;
+        context_.deadlines.cancel(hedge_timer_);
+        last_replica_ = replica;
         if (stream) {
             last_event_at_ = context_.clock();
             watch_for_stall();
@@ -269,6 +283,11 @@
 
 void proxied_exchange::perform_step(const relay_step& /*step*/) {}
 
+void proxied_exchange::perform_step(const continue_step& /*step*/)
+{
+    cancel_call(event_attempt_);
+}
+
 void proxied_exchange::on_data(std::string_view bytes)
 {
     const auto keep_alive = shared_from_this();
@@ -313,10 +332,10 @@
 
 void proxied_exchange::pause_if_behind()
 {
-    if (!paused_at_ && call_ && sink_.behind && sink_.behind()) {
+    if (!paused_at_ && !calls_.empty() && sink_.behind && sink_.behind()) {
         context_.counters.count("proxied_reading_paused_total").add();
         paused_at_ = context_.clock();
-        call_->pause();
+        calls_.begin()->second->pause();
     }
 }
 
@@ -330,8 +349,8 @@
     // The silence was the caller's, so the replica has not stalled.
     last_event_at_ = now;
     paused_at_.reset();
-    if (call_) {
-        call_->resume();
+    if (!calls_.empty()) {
+        calls_.begin()->second->resume();
     }
 }
 
@@ -370,10 +389,12 @@
     return out;
 }
 
-void proxied_exchange::on_end(const detail::call_failure* failure)
+void proxied_exchange::on_end(std::uint32_t attempt, const detail::call_failure* failure)
 {
     const auto keep_alive = shared_from_this();
-    call_.reset();
+    calls_.erase(attempt);
+    flow_.select(attempt);
+    event_attempt_ = attempt;
     paused_at_.reset();
     if (failure == nullptr && (relay_mode_ != relay_mode::stream || !events_.has_partial_event())) {
         finish_answer();
@@ -446,7 +467,7 @@
 
 void proxied_exchange::perform_step(const respond_step& step)
 {
-    cancel_call();
+    cancel_calls();
     std::string body = "{\"error\":\"" + std::string{name_of(step.reason.code)} + "\"}\n";
     std::string out;
     detail::append_status_line(out, step.status);
@@ -476,7 +497,7 @@
 
 void proxied_exchange::perform_step(const abort_step& step)
 {
-    cancel_call();
+    cancel_calls();
     context_.counters.count("proxied_answers_broken_total").add();
     log_finished(answer_.status, "broken", step.reason.detail);
     end();
@@ -540,20 +561,30 @@
     if (ended_) {
         return;
     }
-    cancel_call();
+    cancel_calls();
     flow_.on_caller_gone(context_.clock());
     log_finished(0, "caller_gone", {});
     end();
 }
 
-void proxied_exchange::cancel_call()
+void proxied_exchange::cancel_calls()
 {
     context_.deadlines.cancel(pause_timer_);
     context_.deadlines.cancel(stall_timer_);
     paused_at_.reset();
-    if (call_) {
-        call_->cancel();
-        call_.reset();
+    context_.deadlines.cancel(hedge_timer_);
+    for (const auto& [attempt, call] : std::exchange(calls_, {})) {
+        call->cancel();
+    }
+}
+
+void proxied_exchange::cancel_call(std::uint32_t attempt)
+{
+    const auto it = calls_.find(attempt);
+    if (it != calls_.end()) {
+        const auto call = std::move(it->second);
+        calls_.erase(it);
+        call->cancel();
     }
 }
 
--- a/src/net/proxy/proxied_exchange.hpp
+++ b/src/net/proxy/proxied_exchange.hpp
@@ -9,7 +9,9 @@
 #include "proxy/event_splitter.hpp"
 #include "proxy/request_flow.hpp"
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -73,12 +75,18 @@
     void perform_step(const wait_step& step);
     void perform_step(send_step& step);
     void perform_step(const relay_step& step);
+    void perform_step(const continue_step& step);
     void perform_step(const respond_step& step);
     void perform_step(const abort_step& step);
     void send(const send_step& step);
-    void on_head(detail::answer_head head);
+    void on_head(std::uint32_t attempt, detail::answer_head head);
     void on_data(std::string_view bytes);
-    void on_end(const detail::call_failure* failure);
+    void on_end(std::uint32_t attempt, const detail::call_failure* failure);
+    /// Asks at `at` whether to send the request to a second replica; empty: never.
+    void watch_for_hedge(std::optional<time_point> at);
+    void on_hedge_time();
+    /// Cancels the call that the answer of another attempt has overtaken.
+    void cancel_overtaken();
     void relay_events(std::string_view bytes);
     void drop_buffered();
     void fail_attempt(const attempt_failure& failure);
@@ -91,8 +99,10 @@
     void pause_if_behind();
     void watch_for_stall();
     void on_stall();
-    void cancel_call();
+    void cancel_calls();
+    void cancel_call(std::uint32_t attempt);
     void end();
+    void log_sent(const send_step& step);
     void log_answer_dropped(const response_head& head, const std::string& replica);
     void log_attempt_failed(const attempt_failure& failure);
     void log_set_aside(const response_head& head, const std::string& replica);
@@ -105,10 +115,13 @@
     answer_framing framing_;
     answer_sink sink_;
     request_flow flow_;
-    detail::http_call_ptr call_;
+    /// Calls in progress, by the number of the attempt; two while a second attempt runs.
+    std::map<std::uint32_t, detail::http_call_ptr> calls_;
+    std::uint32_t event_attempt_{0}; ///< that the latest event concerns
     deadline_queue::handle deadline_{};
     deadline_queue::handle pause_timer_{};
     deadline_queue::handle stall_timer_{};
+    deadline_queue::handle hedge_timer_{};
     time_point last_event_at_; ///< or the head of the stream
     relay_mode relay_mode_{relay_mode::none};
     detail::answer_head answer_; ///< of the attempt that is relayed
--- a/src/net/proxy/proxy_server_test.cpp
+++ b/src/net/proxy/proxy_server_test.cpp
@@ -64,6 +64,10 @@
 
 class proxy_server_test : public net_testing::net_fixture {
 protected:
+    explicit proxy_server_test(const proxy_settings& settings = testing_proxy::make_settings())
+        : core_{settings, counters_, clock_()}
+    {
+    }
     void SetUp() override
     {
         for (const char* domain : {"a", "b"}) {
@@ -169,7 +173,7 @@
     deadline_queue deadlines_{io_};
     detail::http_client upstreams_{io_, {}};
     proxy_dialect dialect_{test_dialect()};
-    proxy_core core_{testing_proxy::make_settings(), counters_, clock_()};
+    proxy_core core_;
     buffer_budget buffers_{std::size_t{32} * 1024 * 1024};
     proxy_context context_{io_,  core_,     upstreams_, deadlines_, dialect_,
                            log_, counters_, clock_,     buffers_};
@@ -787,5 +791,119 @@
     EXPECT_NE(log_output_.find(R"("event":"request_finished","id":"abc")"), std::string::npos);
 }
 
+/// Requests that are known to take 10 ms and rarely five seconds.
+class hedged_exchange_test : public proxy_server_test {
+protected:
+    hedged_exchange_test() : proxy_server_test{settings()} {}
+
+    static proxy_settings settings()
+    {
+        auto out = testing_proxy::make_settings();
+        out.hedging.percent = 100;
+        return out;
+    }
+    void SetUp() override
+    {
+        proxy_server_test::SetUp();
+        for (int i = 0; i < 200; ++i) {
+            for (const char* route : {"read", "report"}) {
+                core_.hedging().count_request({route, 0});
+                core_.hedging().record_first_token({route, 0}, i % 25 == 0 ? 5s : 10ms);
+            }
+        }
+    }
+    /// Sends a request that two replicas receive.
+    void start_hedged()
+    {
+        get();
+        late_ = wait_for_request(1);
+        second_ = wait_for_request(2);
+        ASSERT_NE(late_, second_);
+    }
+    [[nodiscard]] std::size_t log_lines(const std::string& event)
+    {
+        log_.flush();
+        return count_of(log_output_, "\"event\":\"" + event + "\"");
+    }
+
+    scripted_connection_ptr late_;
+    scripted_connection_ptr second_;
+};
+
+TEST_F(hedged_exchange_test, second_replica_answers_and_the_first_call_is_cancelled)
+{
+    start_hedged();
+    second_->write(small_answer);
+    ASSERT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+    EXPECT_TRUE(pump_until([&] { return late_->closed; }));
+    EXPECT_FALSE(second_->closed);
+    EXPECT_EQ(log_lines("request_hedged"), 1U) << log_output_;
+    EXPECT_EQ(log_lines("hedge_cancelled"), 1U) << log_output_;
+    EXPECT_EQ(log_lines("request_finished"), 1U) << log_output_;
+}
+
+TEST_F(hedged_exchange_test, first_replica_answers_after_all_and_the_second_call_is_cancelled)
+{
+    start_hedged();
+    late_->write(small_answer);
+    ASSERT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+    EXPECT_TRUE(pump_until([&] { return second_->closed; }));
+    EXPECT_FALSE(late_->closed);
+    EXPECT_EQ(count_of(caller_->received, "HTTP/1.1"), 1U);
+}
+
+// Guards against a third send, and against an error, while another replica is working.
+TEST_F(hedged_exchange_test, replica_that_fails_does_not_end_the_other_attempt)
+{
+    const std::vector<std::string> failures{
+        "", "HTTP/1.1 500 Oops\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\nOops",
+        "HTTP/1.1 503 Oops\r\nX-Id: 1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"};
+    std::size_t requests = 0;
+    for (const auto& failure : failures) {
+        caller_ = connect_to(io_, server_.address());
+        get();
+        late_ = wait_for_request(requests + 1);
+        requests += 2;
+        second_ = wait_for_request(requests);
+        if (!failure.empty()) {
+            second_->write(failure);
+        }
+        second_->close();
+        ASSERT_TRUE(pump_until([&] {
+            return 2 * (log_lines("attempt_failed") + log_lines("answer_dropped")) == requests;
+        })) << log_output_;
+        poll();
+        EXPECT_EQ(requests_received(), requests) << failure;
+        EXPECT_EQ(caller_->received, "");
+        late_->write(small_answer);
+        ASSERT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+    }
+}
+
+// Guards against the events of two replicas in one stream.
+TEST_F(hedged_exchange_test, stream_has_the_events_of_one_replica_only)
+{
+    post("/report/x", "p");
+    late_ = wait_for_request(1);
+    second_ = wait_for_request(2);
+    ASSERT_NE(late_, second_);
+    second_->write(event_stream_head + chunk("id: 1\ndata: second\n\n"));
+    late_->write(event_stream_head + chunk("id: 1\ndata: late\n\nid: 2\ndata: late\n\n"));
+    ASSERT_TRUE(pump_until([&] { return late_->closed || second_->closed; }));
+    const auto& winner = late_->closed ? second_ : late_;
+    const std::string other_text = late_->closed ? "data: late" : "data: second";
+    winner->write(chunk("id: 3\ndata: end\n\n") + "0\r\n\r\n");
+    ASSERT_TRUE(wait_for_caller_text("0\r\n\r\n"));
+    EXPECT_EQ(count_of(caller_->received, other_text), 0U) << caller_->received;
+    EXPECT_EQ(count_of(caller_->received, "200 OK"), 1U);
+}
+
+TEST_F(hedged_exchange_test, caller_that_goes_ends_both_calls)
+{
+    start_hedged();
+    caller_->close();
+    EXPECT_TRUE(pump_until([&] { return late_->closed && second_->closed; }));
+}
+
 } // namespace
 } // namespace wagtailhitch
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -83,8 +83,8 @@
                                                                            settings_.regions},
       pool_{settings_.pool}, chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
       cold_{settings_.cold, now}, link_{link_limit(settings_), now},
-      quarantine_{settings_.quarantine}, retries_{settings_.retry}, cascade_{settings_.models},
-      bills_{settings_.self, settings_.report_address, settings_.bills},
+      quarantine_{settings_.quarantine}, retries_{settings_.retry}, hedges_{settings_.hedging},
+      cascade_{settings_.models}, bills_{settings_.self, settings_.report_address, settings_.bills},
       calibration_{settings_.calibration}, rollouts_{settings_.self, settings_.rollout},
       peers_{{settings_.self, settings_.report_address, settings_.failure_domain,
               settings_.peer_timeout}},
@@ -741,7 +741,8 @@
 }
 
 expected<placement> proxy_core::place(const admission& admitted, const proxied_request& request,
-                                      const send_history& history, time_point now)
+                                      const send_history& history, time_point now,
+                                      const std::function<bool(const choice&)>& accepts)
 {
     if (directory_.tick(now)) {
         refresh_pool(now);
@@ -758,6 +759,10 @@
     if (auto refused = check_pressure(admitted, request, *chosen, now)) {
         return tl::unexpected(std::move(*refused));
     }
+    if (accepts && !accepts(*chosen)) {
+        return tl::unexpected(refusal(error_code::no_upstream, step::route,
+                                      "The chosen replica was not accepted.", {}));
+    }
     link_.spend(chosen->link_bytes, now);
     if (!chain.empty()) {
         prefixes_.stored(chosen->replica, chain);
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -14,6 +14,7 @@
 #include "proxy/rollout_tracker.hpp"
 #include "proxy/session_affinity.hpp"
 #include "quarantine/prompt_quarantine.hpp"
+#include "retry/hedge_control.hpp"
 #include "retry/retry_policy.hpp"
 #include "routing/cold_limiter.hpp"
 #include "routing/link_budget.hpp"
@@ -148,6 +149,7 @@
     /// Time for which reports tell that a replica is leaving.
     duration leaving_report_time{10s};
     retry_settings retry{};
+    hedging_settings hedging{};
     domain_bill_settings bills{};
     cold_limiter_settings cold{};
     /// Bound of the requests in a second that all VMs send to a cold replica, as a multiple of the
@@ -165,6 +167,21 @@
 /// dropped for a larger model or lost with the connection, or the connection was refused.
 enum class part_outcome { survived, dropped, lost, connection_refused };
 
+/// The attempt of a request that has not been answered yet.
+struct waiting_attempt {
+    const placement& placed;
+    std::span<const part_key> parts; ///< of the prompt
+    time_point sent_at;
+};
+
+/// A second attempt of a request beside the first, or the reason for which there is none.
+struct hedge_placement {
+    std::optional<placement> placed;
+    hedge_refusal refusal{hedge_refusal::none};
+    std::optional<time_point> ask_again; ///< when the target is expected to be in danger
+    duration gain{};                     ///< expected, of `placed`
+};
+
 struct readiness {
     bool ready{false};
     std::string reason; ///< why the VM is not ready
@@ -283,8 +300,22 @@
     [[nodiscard]] duration spread(duration wait);
     /// Chooses a replica for the request and counts the attempt in its load until finish(). Errors,
     /// all not_run: no_upstream, queue_full.
+    /// `accepts`, if given, may reject the choice with no_upstream before anything is counted.
     expected<placement> place(const admission& admitted, const proxied_request& request,
-                              const send_history& history, time_point now);
+                              const send_history& history, time_point now,
+                              const std::function<bool(const choice&)>& accepts = {});
+    /// Places a second attempt of a request whose first one is late, if the operators' limit and
+    /// all limits of a repeat allow it and the answer is expected sooner. Counts it against the
+    /// operators' limit; the caller counts the repeat.
+    hedge_placement place_hedge(const admission& admitted, const proxied_request& request,
+                                const send_history& history, const waiting_attempt& first,
+                                time_point now);
+    /// A second attempt was answered before the first.
+    void count_hedge_won(const admission& admitted);
+    /// Kind of request by which the times of second attempts are learned.
+    [[nodiscard]] static request_kind kind_of(const admission& admitted, const placement& placed);
+    hedge_control& hedging() { return hedges_; }
+    [[nodiscard]] const hedge_control& hedging() const { return hedges_; }
     void count_request(const admission& admitted, time_point now);
     /// Records the only bill of a request. Without lines nothing ran, and nothing is billed.
     void add_bill(const admission& admitted, bill_outcome outcome, std::vector<bill_line> lines,
@@ -396,6 +427,15 @@
     [[nodiscard]] std::optional<error> check_pressure(const admission& admitted,
                                                       const proxied_request& request,
                                                       const choice& chosen, time_point now) const;
+    /// Why a request must not be sent a second time now, whichever replica is chosen.
+    [[nodiscard]] hedge_refusal check_hedge(const admission& admitted,
+                                            const proxied_request& request,
+                                            const send_history& history,
+                                            const waiting_attempt& first, time_point now);
+    /// Whether a second attempt may go to the chosen replica. `gain`: how much sooner it is
+    /// expected to be answered than the first.
+    [[nodiscard]] hedge_refusal judge_hedge(const admission& admitted, const choice& chosen,
+                                            duration gain, time_point now) const;
     void refresh_cold_replicas(time_point now);
     void publish_calibration(time_point now);
     void take_leaving(const peer_report& report, time_point now);
@@ -449,6 +489,7 @@
     link_budget link_;
     prompt_quarantine quarantine_;
     retry_policy retries_;
+    hedge_control hedges_;
     model_cascade cascade_;
     domain_bills bills_;
     std::uint64_t next_bill_{1};
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -75,9 +75,7 @@
 
 request_flow::~request_flow()
 {
-    if (placed_) {
-        end_attempt(attempt_result::cancelled, sent_at_);
-    }
+    end_all_attempts(attempt_result::cancelled, attempt_.sent_at);
 }
 
 flow_step request_flow::begin(time_point now)
@@ -133,17 +131,22 @@
         }
         return give_up(reason, now);
     }
-    placed_ = std::move(*placed);
-    tests_quarantine_ = core_.quarantine().note_sent(parts_, now);
-    head_seen_ = false;
-    head_refused_ = false;
-    events_ = 0;
-    head_at_.reset();
-    first_event_at_.reset();
-    paused_ = duration{0};
-    sent_at_ = now + pause;
-    history_.tried.push_back(placed_->ticket.replica);
-    history_.model = placed_->model;
+    return begin_attempt(std::move(*placed), pause, now);
+}
+
+send_step request_flow::begin_attempt(placement placed, duration pause, time_point now)
+{
+    attempt_ = {};
+    attempt_.number = ++attempts_;
+    attempt_.hedge = has_other();
+    attempt_.placed = std::move(placed);
+    attempt_.tests_quarantine = core_.quarantine().note_sent(parts_, now);
+    attempt_.sent_at = now + pause;
+    history_.tried.push_back(attempt_.placed->ticket.replica);
+    history_.model = attempt_.placed->model;
+    if (attempt_.number == 1) {
+        core_.hedging().count_request(proxy_core::kind_of(*admitted_, *attempt_.placed));
+    }
     // The send counts as delivered unless the connection turns out to have failed before anything
     // was written.
     if (deliveries_ > 0) {
@@ -152,11 +155,12 @@
     ++deliveries_;
     ++history_.sends;
     send_step out;
-    out.placed = *placed_;
-    if (placed_->model) {
-        out.model = admitted_->route->models[*placed_->model];
+    out.attempt = attempt_.number;
+    out.placed = *attempt_.placed;
+    if (attempt_.placed->model) {
+        out.model = admitted_->route->models[*attempt_.placed->model];
     }
-    out.time_left = admitted_->answer_deadline - sent_at_;
+    out.time_left = admitted_->answer_deadline - attempt_.sent_at;
     out.head_timeout = head_timeout();
     out.resume_after = last_event_id_;
     out.pause = pause;
@@ -167,13 +171,13 @@
 duration request_flow::head_timeout() const
 {
     const proxy_route& route = *admitted_->route;
-    const duration left = admitted_->answer_deadline - sent_at_;
+    const duration left = admitted_->answer_deadline - attempt_.sent_at;
     const bool may_repeat = route.repeatable() && history_.sends < route.maximum_sends;
     if (!may_repeat) {
         return left;
     }
     const duration silence_timeout =
-        std::clamp(scale(placed_->expected_first_token, head_timeout_factor),
+        std::clamp(scale(attempt_.placed->expected_first_token, head_timeout_factor),
                    scale(route.target_latency, min_head_timeout_share),
                    scale(route.target_latency, max_head_timeout_share));
     return std::min(left, std::max(min_head_timeout, silence_timeout));
@@ -181,7 +185,7 @@
 
 flow_step request_flow::on_head(const response_head& head, time_point now)
 {
-    head_seen_ = true;
+    attempt_.head_seen = true;
     // A late copy of an earlier answer says nothing about this request, also if it is a refusal.
     const bool may_be_late_refusal =
         head.not_run && !head.request_id_matches && head.on_reused_connection;
@@ -191,9 +195,9 @@
                           now);
     }
     note_replica_signals(head, now);
-    if (!head.answered_by.empty() && placed_ && head.answered_by != placed_->upstream.value &&
-        !head.signed_response) {
-        core_.note_address_reused(placed_->upstream, now);
+    if (!head.answered_by.empty() && attempt_.placed &&
+        head.answered_by != attempt_.placed->upstream.value && !head.signed_response) {
+        core_.note_address_reused(attempt_.placed->upstream, now);
         if (!head.not_run) {
             return on_failure({error_code::upstream_failed, run_state::outcome_unknown,
                                "An unsigned response came from another replica."},
@@ -221,14 +225,19 @@
     const bool continues = head.status == 200 && !head.other_content_type;
     failing_ = head.status >= 500 || (response_started_ && !continues);
     if (!failing_) {
-        head_at_ = now;
-        core_.note_first_token(*placed_, now - sent_at_, now);
+        attempt_.head_at = now;
+        core_.note_first_token(*attempt_.placed, now - attempt_.sent_at, now);
+        record_wait(attempt_, now);
+        overtake_other(now);
+        if (attempt_.hedge) {
+            core_.count_hedge_won(*admitted_);
+        }
         return accept_or_escalate(head, now);
     }
     const attempt_failure failure{error_code::upstream_failed, run_state::ran,
                                   "The replica failed the request."};
     // The request cannot be sent again, so the caller gets the replica's own error response.
-    if (!core_.may_run_again(*admitted_, history_, now) && !response_started_) {
+    if (!has_other() && !core_.may_run_again(*admitted_, history_, now) && !response_started_) {
         return relay_step{};
     }
     return on_failure(failure, now);
@@ -238,19 +247,20 @@
 // the address.
 void request_flow::note_replica_signals(const response_head& head, time_point now)
 {
-    const bool certain = placed_ && head.request_id_matches &&
-                         !(request_.id.empty() && head.on_reused_connection) &&
-                         (head.answered_by.empty() || head.answered_by == placed_->upstream.value);
+    const bool certain =
+        attempt_.placed && head.request_id_matches &&
+        !(request_.id.empty() && head.on_reused_connection) &&
+        (head.answered_by.empty() || head.answered_by == attempt_.placed->upstream.value);
     if (!certain) {
         return;
     }
-    if (head.replica_leaving && core_.note_replica_leaving(*placed_, now)) {
+    if (head.replica_leaving && core_.note_replica_leaving(*attempt_.placed, now)) {
         set_aside_ = "leaving";
     }
     if (head.cold_for) {
-        core_.note_cold(*placed_, *head.cold_for, now);
+        core_.note_cold(*attempt_.placed, *head.cold_for, now);
     }
-    if (head.quiet_for && core_.note_quiet(*placed_, *head.quiet_for, now)) {
+    if (head.quiet_for && core_.note_quiet(*attempt_.placed, *head.quiet_for, now)) {
         set_aside_ = "asked_for_quiet";
     }
 }
@@ -262,14 +272,14 @@
         return relay_step{};
     }
     const auto larger_model =
-        core_.escalate(*admitted_, request_, *placed_, *head.confidence, history_, now);
+        core_.escalate(*admitted_, request_, *attempt_.placed, *head.confidence, history_, now);
     if (!larger_model) {
         history_.model_fixed = true;
         return relay_step{};
     }
-    core_.note_answer(*admitted_, *placed_, {.slow = slow(now)});
+    core_.note_answer(*admitted_, *attempt_.placed, {.slow = slow(now)});
     note_parts(part_outcome::dropped, now);
-    first_event_at_ = now;
+    attempt_.first_event_at = now;
     end_attempt(attempt_result::succeeded, now);
     history_.model = larger_model;
     // Low confidence is no fault of the replica, so it may be chosen again: it may have the shared
@@ -280,29 +290,29 @@
 
 flow_step request_flow::on_replica_refusal(const attempt_failure& failure, time_point now)
 {
-    head_refused_ = true;
+    attempt_.head_refused = true;
     // The replica responded, so the refusal does not count as a failure of it.
     end_attempt(attempt_result::cancelled, now);
-    return retry(failure, now);
+    return has_other() ? continue_with_other(failure) : retry(failure, now);
 }
 
 void request_flow::on_event(std::optional<std::uint64_t> id, time_point now)
 {
-    if (!first_event_at_) {
-        first_event_at_ = now;
+    if (!attempt_.first_event_at) {
+        attempt_.first_event_at = now;
     }
-    last_event_at_ = now;
+    attempt_.last_event_at = now;
     response_started_ = true;
     const bool was_past_beginning = past_beginning();
-    ++events_;
+    ++attempt_.events;
     if (past_beginning() && !was_past_beginning) {
         note_parts(part_outcome::survived, now);
     }
     if (id) {
         last_event_id_ = id;
     }
-    if (placed_ && placed_->software != history_.software) {
-        history_.software = placed_->software;
+    if (attempt_.placed && attempt_.placed->software != history_.software) {
+        history_.software = attempt_.placed->software;
     }
 }
 
@@ -313,55 +323,59 @@
 
 bool request_flow::slow(time_point now) const
 {
-    const duration took = first_event_at_.value_or(now) - sent_at_;
+    const duration took = attempt_.first_event_at.value_or(now) - attempt_.sent_at;
     if (took > scale(admitted_->route->target_latency, slow_first_event_share)) {
         return true;
     }
-    return head_at_ &&
-           core_.is_slow_first_token(*placed_, request_.prompt_tokens, *head_at_ - sent_at_, now);
+    return attempt_.head_at && core_.is_slow_first_token(*attempt_.placed, request_.prompt_tokens,
+                                                         *attempt_.head_at - attempt_.sent_at, now);
 }
 
 std::optional<duration> request_flow::mean_event_interval() const
 {
-    if (events_ < 2) {
+    if (attempt_.events < 2) {
         return std::nullopt;
     }
-    const duration streaming =
-        std::max<duration>(duration{0}, last_event_at_ - *first_event_at_ - paused_);
-    return streaming / static_cast<std::int64_t>(events_ - 1);
+    const duration streaming = std::max<duration>(
+        duration{0}, attempt_.last_event_at - *attempt_.first_event_at - attempt_.paused);
+    return streaming / static_cast<std::int64_t>(attempt_.events - 1);
 }
 
 // A replica that crashes on a prompt does so when it begins the answer. One event may still arrive.
 bool request_flow::past_beginning() const
 {
     constexpr std::uint64_t events_of_beginning = 1;
-    return events_ > events_of_beginning;
+    return attempt_.events > events_of_beginning;
 }
 
 void request_flow::note_parts(part_outcome outcome, time_point now)
 {
-    if (placed_ && !parts_.empty()) {
-        core_.note_parts(parts_, *placed_, outcome, now);
+    if (attempt_.placed && !parts_.empty()) {
+        core_.note_parts(parts_, *attempt_.placed, outcome, now);
     }
 }
 
-void request_flow::end_attempt(attempt_result result, time_point now, bool connection_refused)
+void request_flow::end_attempt(attempt_result result, time_point now, bool connection_refused,
+                               bool overtaken)
 {
-    if (!placed_) {
+    if (!attempt_.placed) {
         return;
     }
-    if (head_seen_ && !head_refused_) {
-        bill_lines_.push_back(
-            core_.bill_line_of(*admitted_, *placed_, request_.prompt_tokens, events_));
+    const bool ran = attempt_.head_seen && !attempt_.head_refused;
+    if (ran || (overtaken && attempt_.cleared)) {
+        bill_lines_.push_back(core_.bill_line_of(*admitted_, *attempt_.placed,
+                                                 request_.prompt_tokens, attempt_.events));
     }
     attempt_outcome outcome;
     outcome.result = result;
-    outcome.first_token = head_at_.value_or(now) - sent_at_;
-    outcome.total = now - sent_at_;
-    outcome.predicted = result == attempt_result::succeeded ? placed_->predicted : duration{0};
+    outcome.first_token = attempt_.head_at.value_or(now) - attempt_.sent_at;
+    outcome.total = now - attempt_.sent_at;
+    const bool measured = result == attempt_result::succeeded || overtaken;
+    outcome.predicted = measured ? attempt_.placed->predicted : duration{0};
+    outcome.overtaken = overtaken;
     outcome.connection_refused = connection_refused;
-    core_.finish(*placed_, outcome, now);
-    placed_.reset();
+    core_.finish(*attempt_.placed, outcome, now);
+    attempt_.placed.reset();
 }
 
 flow_step request_flow::on_failure(const attempt_failure& failure, time_point now)
@@ -373,18 +387,21 @@
     }
     // A failed connection is no evidence about the replica's software. A replica that exceeds the
     // head timeout may just be loaded, so it counts as slow and not as failed.
-    if (placed_ && failure.code != error_code::upstream_connect_failed) {
+    if (attempt_.placed && failure.code != error_code::upstream_connect_failed) {
         const bool silent = failure.code == error_code::upstream_timeout;
-        core_.note_answer(*admitted_, *placed_, {.failed = !silent, .slow = silent});
+        core_.note_answer(*admitted_, *attempt_.placed, {.failed = !silent, .slow = silent});
+        if (silent && !attempt_.head_seen) {
+            record_wait(attempt_, now);
+        }
     }
     const bool unreachable =
         failure.code == error_code::upstream_connect_failed || failure.connection_lost;
-    if (placed_ && unreachable && !failure.withdrawn) {
-        core_.note_unreachable(*placed_, now);
+    if (attempt_.placed && unreachable && !failure.withdrawn) {
+        core_.note_unreachable(*attempt_.placed, now);
     }
-    if (placed_ && failure.withdrawn && core_.is_cold(placed_->upstream, now)) {
+    if (attempt_.placed && failure.withdrawn && core_.is_cold(attempt_.placed->upstream, now)) {
         // This VM's share of the replica was used up; the request may still run there later.
-        history_.tried.pop_back();
+        std::erase(history_.tried, attempt_.placed->ticket.replica);
     }
     if (failure.connection_refused) {
         note_parts(part_outcome::connection_refused, now);
@@ -394,17 +411,29 @@
     }
     end_attempt(failure.withdrawn ? attempt_result::cancelled : attempt_result::failed, now,
                 failure.connection_refused);
-    return retry(failure, now);
+    return has_other() ? continue_with_other(failure) : retry(failure, now);
 }
 
-flow_step request_flow::retry(const attempt_failure& failure, time_point now)
+flow_step request_flow::continue_with_other(const attempt_failure& failure)
+{
+    discount_unsent(failure);
+    attempt_ = std::move(*other_);
+    other_.reset();
+    return continue_step{};
+}
+
+void request_flow::discount_unsent(const attempt_failure& failure)
 {
-    const proxy_route& route = *admitted_->route;
     if (failure.code == error_code::upstream_connect_failed) {
-        // Nothing was written to the replica, so this does not count as a send.
         --history_.sends;
         --deliveries_;
     }
+}
+
+flow_step request_flow::retry(const attempt_failure& failure, time_point now)
+{
+    const proxy_route& route = *admitted_->route;
+    discount_unsent(failure);
     error reason{failure.code, step::dispatch, {}, run_, failure.detail, {}};
     if (run_ == run_state::not_run) {
         reason.retry_after = refused_retry_after;
@@ -444,11 +473,17 @@
     return respond_step{status_of(final_reason), final_reason};
 }
 
-bool request_flow::may_send(time_point now) const
+bool request_flow::may_send(time_point now)
 {
-    return now - sent_at_ <= longest_send_delay && !core_.check_permission(*admitted_, now) &&
-           (tests_quarantine_ || !core_.check_parts(request_, parts_, now)) && placed_ &&
-           core_.may_use(*admitted_, *placed_, now) && core_.begin_send(*placed_, now);
+    // The parts may have become suspect since the second attempt was decided.
+    const bool may_crash_another = attempt_.hedge && core_.quarantine().is_suspected(parts_);
+    const bool may = now - attempt_.sent_at <= longest_send_delay &&
+                     !core_.check_permission(*admitted_, now) && !may_crash_another &&
+                     (attempt_.tests_quarantine || !core_.check_parts(request_, parts_, now)) &&
+                     attempt_.placed && core_.may_use(*admitted_, *attempt_.placed, now) &&
+                     core_.begin_send(*attempt_.placed, now);
+    attempt_.cleared = attempt_.cleared || may;
+    return may;
 }
 
 duration request_flow::stall_timeout() const
@@ -458,7 +493,7 @@
 
 std::optional<flow_step> request_flow::on_stall(time_point now)
 {
-    if (!placed_ || !last_event_id_ || !core_.may_run_again(*admitted_, history_, now)) {
+    if (!attempt_.placed || !last_event_id_ || !core_.may_run_again(*admitted_, history_, now)) {
         return std::nullopt;
     }
     return on_failure({error_code::stream_broken, run_state::ran,
@@ -468,12 +503,12 @@
 
 void request_flow::on_end(time_point now)
 {
-    if (placed_) {
-        core_.note_answer(*admitted_, *placed_,
+    if (attempt_.placed) {
+        core_.note_answer(*admitted_, *attempt_.placed,
                           {.failed = failing_,
                            .slow = slow(now),
                            .mean_event_interval = mean_event_interval(),
-                           .load = placed_->inputs.load_share});
+                           .load = attempt_.placed->inputs.load_share});
     }
     if (!failing_ && !past_beginning()) {
         note_parts(part_outcome::survived, now);
@@ -491,21 +526,21 @@
 
 void request_flow::on_caller_gone(time_point now)
 {
-    end_attempt(attempt_result::cancelled, now);
+    end_all_attempts(attempt_result::cancelled, now);
     bill_request(bill_outcome::cancelled, now);
 }
 
-void request_flow::abandon_attempt(attempt_result result, time_point now)
+void request_flow::abandon_attempts(attempt_result result, time_point now)
 {
-    if (placed_ && run_ == run_state::not_run) {
+    if (attempt_.placed && run_ == run_state::not_run) {
         run_ = run_state::outcome_unknown;
     }
-    end_attempt(result, now);
+    end_all_attempts(result, now);
 }
 
 flow_step request_flow::on_stop(time_point now)
 {
-    abandon_attempt(attempt_result::cancelled, now);
+    abandon_attempts(attempt_result::cancelled, now);
     error reason{error_code::shutting_down,
                  step::shutdown,
                  {},
@@ -520,10 +555,15 @@
 
 flow_step request_flow::on_deadline(time_point now)
 {
-    if (placed_ && !head_seen_) {
-        core_.note_answer(*admitted_, *placed_, {.slow = true});
+    if (attempt_.placed && !attempt_.head_seen) {
+        core_.note_answer(*admitted_, *attempt_.placed, {.slow = true});
+        record_wait(attempt_, now);
+    }
+    if (other_) {
+        core_.note_answer(*admitted_, *other_->placed, {.slow = true});
+        record_wait(*other_, now);
     }
-    abandon_attempt(head_seen_ ? attempt_result::cancelled : attempt_result::failed, now);
+    abandon_attempts(attempt_.head_seen ? attempt_result::cancelled : attempt_result::failed, now);
     return give_up(error{error_code::upstream_timeout,
                          step::dispatch,
                          {},
--- a/src/proxy/test_proxy.hpp
+++ b/src/proxy/test_proxy.hpp
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 
 // Test fixture of a proxy core with one deployment: an engine service and an application with three
 // replicas each, in two failure domains of one region and one of another.
@@ -79,9 +80,13 @@
 class proxy_deployment {
 public:
     explicit proxy_deployment(const std::string& vm = "vm-1")
-        : core{make_settings(vm), counters, clock.now()}
+        : proxy_deployment{make_settings(vm), make_contents(1)}
     {
-        core.set_catalog(std::make_shared<const proxy_catalog>(make_contents(1)));
+    }
+    proxy_deployment(const proxy_settings& settings, catalog_contents contents)
+        : core{settings, counters, clock.now()}
+    {
+        core.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
         core.confirm(clock.now());
         for (const char* domain : {"a", "b", "c"}) {
             announce(make_replica(std::string{"engine-"} + domain, "engine", domain));
--- a/src/retry/hedge_policy.hpp
+++ b/src/retry/hedge_policy.hpp
@@ -38,12 +38,19 @@
 
     void count_request();
     void record_first_token(duration elapsed);
+    /// Records an attempt that ended after `elapsed` without a first token. It counts as one of the
+    /// known attempts that took longer, or as twice as long if none is known.
+    void record_unanswered(duration elapsed);
     /// Time at which to start a second attempt if no token has arrived; empty when hedging is
     /// not permitted.
     [[nodiscard]] std::optional<time_point> hedge_time(const hedge_context& context,
                                                        time_point sent_at) const;
     /// Takes one hedge from the budget. Returns false when the budget is exhausted.
     bool try_consume();
+    [[nodiscard]] bool budget_left() const { return credit_ >= 1; }
+    /// Mean time until the first token of those attempts that took longer than `elapsed`. If none
+    /// is known to have taken that long, `elapsed` again, as slow attempts have no usual length.
+    [[nodiscard]] duration expected_remaining(duration elapsed) const;
     /// Upper bound of the pool's first-token latency at the configured quantile; empty below
     /// `min_samples`.
     [[nodiscard]] std::optional<duration> latency_quantile() const;
@@ -52,7 +59,11 @@
     // Logarithmic histogram bins: 8 per doubling, from 1 ms to about 65 s.
     static constexpr std::size_t bin_count = 128;
     static std::size_t bin_index(duration elapsed);
+    /// Counts a sample, and halves the weights if they have grown too large.
+    void count_sample();
+    [[nodiscard]] double weight_beyond(duration elapsed) const;
     static duration upper_edge(std::size_t bin);
+    static duration middle(std::size_t bin);
 
     hedge_settings settings_;
     std::array<double, bin_count> bins_{};
--- a/src/retry/retry_test.cpp
+++ b/src/retry/retry_test.cpp
@@ -227,5 +227,27 @@
     EXPECT_LE(taken, 50);
 }
 
+// Guards against hedging less and less because slow attempts are ended early.
+TEST_F(hedge_policy_test, attempts_that_are_ended_early_do_not_look_short)
+{
+    record(200);
+    for (int i = 0; i < 20; ++i) {
+        policy_.record_unanswered(150ms);
+    }
+    EXPECT_GE(policy_.expected_remaining(150ms), 230ms);
+    EXPECT_LE(policy_.expected_remaining(150ms), 270ms);
+}
+
+// Guards against a gain computed from the usual time of a request that has long exceeded it.
+TEST_F(hedge_policy_test, remaining_time_is_that_of_attempts_that_took_longer)
+{
+    record(200);
+    EXPECT_LE(policy_.expected_remaining(0ms), 150ms) << "One in ten takes 400 ms, others 100 ms.";
+    EXPECT_GE(policy_.expected_remaining(0ms), 110ms);
+    EXPECT_GE(policy_.expected_remaining(150ms), 230ms);
+    EXPECT_LE(policy_.expected_remaining(150ms), 270ms);
+    EXPECT_EQ(policy_.expected_remaining(2s), 2s) << "No attempt took that long.";
+}
+
 } // namespace
 } // namespace wagtailhitch
--- a/src/routing/replica_pool.cpp
+++ b/src/routing/replica_pool.cpp
@@ -240,6 +240,9 @@
         hold_after_refused_connection(ticket.replica, now);
     }
     if (outcome.result == attempt_result::cancelled) {
+        if (outcome.overtaken) {
+            record_overtaken(ticket.replica, outcome, now);
+        }
         if (ticket.trial) {
             outliers_.abandon_trial(ticket.replica);
         }
@@ -538,6 +541,16 @@
     }
 }
 
+// Without this, a slow replica would look fast when others answer its slow requests.
+void replica_pool::record_overtaken(replica_index index, const attempt_outcome& outcome,
+                                    time_point now)
+{
+    const double ratio = log_ratio(outcome.first_token, outcome.predicted);
+    if (outcome.predicted > duration{0} && ratio > std::log(slowness(index, now))) {
+        record_slowness(replicas_[index], ratio, now);
+    }
+}
+
 void replica_pool::record_slowness(replica_view& replica, double log_ratio, time_point now) const
 {
     const double age =
--- a/src/routing/replica_pool.hpp
+++ b/src/routing/replica_pool.hpp
@@ -102,6 +102,9 @@
     /// `choice::predicted`.
     duration predicted{};
     bool connection_refused{false}; ///< no process listens at the replica's address
+    /// Cancelled because a later attempt was answered first. `first_token` is then the time until
+    /// the cancellation, a lower bound.
+    bool overtaken{false};
 };
 
 /// Identifies a dispatched attempt.
@@ -260,6 +263,7 @@
     void change_health(replica_index replica, replica_health health, time_point now);
     void record_return(replica_view& replica, time_point now) const;
     void update_statistics(replica_view& replica, const attempt_outcome& outcome, time_point now);
+    void record_overtaken(replica_index index, const attempt_outcome& outcome, time_point now);
     void record_slowness(replica_view& replica, double log_ratio, time_point now) const;
     void count_end(const dispatch_ticket& ticket, time_point now);
 
