--- a/src/routing/replica_chooser.cpp
+++ b/src/routing/replica_chooser.cpp
@@ -121,6 +121,16 @@
                         pool.slowness(replica, now));
 }
 
+double replica_chooser::predict_wait(const replica_pool& pool, replica_index replica,
+                                     double capacity) const
+{
+    const replica_load& counts = pool.load(replica);
+    const double slots = std::max(1.0, counts.slots * capacity);
+    const duration measured = pool.mean_total(replica);
+    const double total = seconds(measured > duration{0} ? measured : settings_.assumed_total);
+    return std::max(0.0, estimate_load(counts, settings_) + 1 - slots) * total / slots;
+}
+
 double replica_chooser::predict(const replica_pool& pool, replica_index replica,
                                 double uncached_tokens, double capacity,
                                 const first_token_model* timing) const
@@ -129,15 +139,13 @@
     const replica_load& counts = pool.load(replica);
     const double load = estimate_load(counts, settings_);
     const double slots = std::max(1.0, counts.slots * capacity);
-    const duration measured = pool.mean_total(replica);
-    const double total = seconds(measured > duration{0} ? measured : settings_.assumed_total);
-    const double wait = std::max(0.0, load + 1 - slots) * total / slots;
     const double speed = std::max(it.spec.speed, 1e-3);
     const first_token_model configured{seconds(settings_.base_first_token),
                                        1 / settings_.prefill_tokens_per_second, 1};
     const first_token_model& model = timing != nullptr ? *timing : configured;
     const double first = model.seconds({uncached_tokens, std::min(load / slots, 1.0)});
-    return wait + first / speed + seconds(round_trip_to(it.distance));
+    return predict_wait(pool, replica, capacity) + first / speed +
+           seconds(round_trip_to(it.distance));
 }
 
 double replica_chooser::cost_per_mb(locality distance) const
@@ -192,7 +200,8 @@
     const double with_slow_start =
         capacity_share < 1 ? predict(context.pool, replica, uncached, capacity_share, timing)
                            : at_full_capacity;
-    const double time = with_slow_start * context.pool.slowness(replica, context.now);
+    const double slowness = context.pool.slowness(replica, context.now);
+    const double time = with_slow_start * slowness;
     const locality distance = context.pool.view(replica).distance;
     const double bytes = context.request.request_bytes + context.request.answer_bytes;
     const double link_cost = bytes / bytes_per_mb * cost_per_mb(distance);
@@ -201,6 +210,8 @@
     result.value.replica = replica;
     result.value.distance = distance;
     result.value.expected_first_token = from_seconds(time);
+    result.value.expected_wait =
+        from_seconds(predict_wait(context.pool, replica, capacity_share) * slowness);
     result.value.predicted = from_seconds(at_full_capacity);
     result.value.prefix_blocks = match.blocks;
     result.value.uncached_tokens = uncached;
--- a/src/routing/replica_chooser.hpp
+++ b/src/routing/replica_chooser.hpp
@@ -94,7 +94,8 @@
     replica_index replica{0};
     locality distance{locality::domain};
     duration expected_first_token{};
-    duration predicted{}; ///< first-token time without slowness; for attempt_outcome::predicted
+    duration expected_wait{}; ///< the part of expected_first_token until a slot is free
+    duration predicted{};     ///< first-token time without slowness; for attempt_outcome::predicted
     std::uint32_t prefix_blocks{0};
     double link_bytes{0};      ///< bytes to spend from the link budget
     double uncached_tokens{0}; ///< prompt tokens that the replica is expected to process
@@ -137,8 +138,11 @@
     };
 
     [[nodiscard]] scored_choice score(const search_context& context, replica_index replica) const;
-    /// Returns the predicted first-token time in seconds. `capacity`: fraction of the
+    /// Returns the predicted time in seconds until a slot is free. `capacity`: fraction of the
     /// slots that may be used.
+    [[nodiscard]] double predict_wait(const replica_pool& pool, replica_index replica,
+                                      double capacity) const;
+    /// Returns the predicted first-token time in seconds, with the wait for a slot.
     [[nodiscard]] double predict(const replica_pool& pool, replica_index replica,
                                  double uncached_tokens, double capacity,
                                  const first_token_model* timing) const;
