Add admission control under load to serve-platform

The decision of src/admission was not connected. A refusal states its reason and figures, is counted by route, priority and reason, and is answered at once instead of waiting for a replica that is set aside.

No run with real processes was made with the option on.

--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -10,16 +10,10 @@
 
 namespace {
 
-/// Above this multiple of a replica's slots, a request waits longer there than a caller's retry
-/// takes.
-constexpr double overload = 2.0;
 constexpr duration shortest_retry_after = 100ms;
 /// A starting VM has the configuration after a few calls to the store or two reports from peers. A
 /// caller that retries earlier would waste its retry.
 constexpr duration start_retry_after = 500ms;
-/// Divisor of the latency target: the time after which a caller may retry when all replicas are
-/// overloaded.
-constexpr int overload_retry_divisor = 4;
 /// Divisor of the latency target: the time to the first token above which replicas of other regions
 /// are considered.
 constexpr int remote_target_divisor = 3;
@@ -79,12 +73,12 @@
 
 proxy_core::proxy_core(proxy_settings settings, metrics& registry, time_point now)
     : settings_{std::move(settings)}, counters_{registry}, started_at_{now},
-      generator_{settings_.seed}, schedule_{settings_.reading}, directory_{settings_.directory,
-                                                                           settings_.regions},
-      pool_{settings_.pool}, chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries},
-      cold_{settings_.cold, now}, link_{link_limit(settings_), now},
-      quarantine_{settings_.quarantine}, retries_{settings_.retry}, cascade_{settings_.models},
-      bills_{settings_.self, settings_.report_address, settings_.bills},
+      generator_{settings_.seed}, schedule_{settings_.reading},
+      directory_{settings_.directory, settings_.regions}, pool_{settings_.pool},
+      chooser_{settings_.chooser}, prefixes_{settings_.prefix_entries}, cold_{settings_.cold, now},
+      link_{link_limit(settings_), now}, quarantine_{settings_.quarantine},
+      admission_{settings_.admission, settings_.seed}, retries_{settings_.retry},
+      cascade_{settings_.models}, bills_{settings_.self, settings_.report_address, settings_.bills},
       calibration_{settings_.calibration}, rollouts_{settings_.self, settings_.rollout},
       peers_{{settings_.self, settings_.report_address, settings_.failure_domain,
               settings_.peer_timeout}},
@@ -727,19 +721,6 @@
     return chooser_.choose(pool_, prefixes_, link_, wanted, now, generator_);
 }
 
-std::optional<error> proxy_core::check_pressure(const admission& admitted,
-                                                const proxied_request& /*request*/,
-                                                const choice& chosen, time_point /*now*/) const
-{
-    const replica_load& load = pool_.load(chosen.replica);
-    if (chosen.load <= overload * load.slots) {
-        return std::nullopt;
-    }
-    return refusal(error_code::queue_full, step::admit,
-                   "Every replica of the service is at its limit.",
-                   admitted.route->target_latency / overload_retry_divisor);
-}
-
 expected<placement> proxy_core::place(const admission& admitted, const proxied_request& request,
                                       const send_history& history, time_point now)
 {
@@ -755,8 +736,9 @@
     }
     const replica_view& view = pool_.view(chosen->replica);
     const replica_load& load = pool_.load(chosen->replica);
-    if (auto refused = check_pressure(admitted, request, *chosen, now)) {
-        return tl::unexpected(std::move(*refused));
+    const auto kind = check_pressure(admitted, request, history, software, *chosen, now);
+    if (!kind) {
+        return tl::unexpected(kind.error());
     }
     link_.spend(chosen->link_bytes, now);
     if (!chain.empty()) {
@@ -779,6 +761,8 @@
     out.engine = {admitted.service, out.software, model.value_or(0)};
     out.inputs = {chosen->uncached_tokens, std::min(chosen->load / slots, 1.0)};
     out.waits = chosen->load >= slots;
+    out.load_kind = *kind;
+    out.output_tokens = request.output_tokens;
     const service_rollout* rollout = rollouts_.find(admitted.service);
     out.on_trial = rollout != nullptr && rollout->order().target == out.software &&
                    rollout->state() == rollout_state::running;
@@ -838,6 +822,7 @@
 
 void proxy_core::finish(const placement& placed, const attempt_outcome& outcome, time_point now)
 {
+    note_service_time(placed, outcome);
     if (pool_.finish(placed.ticket, outcome, now)) {
         counters_.count("replicas_ejected_total").add();
     }
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/load_admission.hpp"
 #include "base/error.hpp"
 #include "base/metrics.hpp"
 #include "calibration/engine_calibration.hpp"
@@ -102,9 +103,11 @@
     duration expected_first_token{};
     bool on_trial{false}; ///< its software is being rolled out
     engine_key engine;
-    first_token_inputs inputs; ///< that `predicted` depends on
-    bool waits{false};         ///< all slots of the replica are believed to be in use
-    std::uint64_t send{0};     ///< number of the send at the cold limiter
+    first_token_inputs inputs;      ///< that `predicted` depends on
+    bool waits{false};              ///< all slots of the replica are believed to be in use
+    std::uint64_t send{0};          ///< number of the send at the cold limiter
+    std::size_t load_kind{0};       ///< of the request at load_admission
+    std::uint32_t output_tokens{0}; ///< that the caller expects
 };
 
 struct proxy_settings {
@@ -156,6 +159,7 @@
     double cold_slack{0};
     /// Longest time until a VM has read what a replica writes of itself.
     duration record_delay{4s};
+    load_admission_settings admission{};
     double prefill_cost{0}; ///< money units per 1000 prompt tokens
     std::size_t prefix_entries{std::size_t{16} * 1024};
     std::uint64_t seed{1};
@@ -282,9 +286,15 @@
     /// Adds up to half of the wait, so that callers do not all return at once.
     [[nodiscard]] duration spread(duration wait);
     /// Chooses a replica for the request and counts the attempt in its load until finish(). Errors,
-    /// all not_run: no_upstream, queue_full.
+    /// all not_run: no_upstream, queue_full, deadline_unreachable.
     expected<placement> place(const admission& admitted, const proxied_request& request,
                               const send_history& history, time_point now);
+    /// Whether an error of place() is a decision under load, with the time after which the caller
+    /// can be served. The request must not wait in this VM then.
+    [[nodiscard]] bool refused_for_load(const error& reason) const
+    {
+        return admission_.enabled() && reason.at == step::admit;
+    }
     void count_request(const admission& admitted, time_point now);
     /// Records the only bill of a request. Without lines nothing ran, and nothing is billed.
     void add_bill(const admission& admitted, bill_outcome outcome, std::vector<bill_line> lines,
@@ -392,10 +402,16 @@
                                                 const std::string& software,
                                                 const proxied_request& request, std::size_t model,
                                                 time_point now);
-    /// Returns the refusal of a request that the service cannot serve under its present load.
-    [[nodiscard]] std::optional<error> check_pressure(const admission& admitted,
-                                                      const proxied_request& request,
-                                                      const choice& chosen, time_point now) const;
+    /// Returns the refusal of a request that the service cannot serve under its present load, or
+    /// the kind of the request for load_admission::note_answer().
+    expected<std::size_t> check_pressure(const admission& admitted, const proxied_request& request,
+                                         const send_history& history, const std::string& software,
+                                         const choice& chosen, time_point now);
+    /// Load of the replicas that a request may use.
+    [[nodiscard]] service_occupancy
+    occupancy_for(const admission& admitted, const std::string& software, time_point now) const;
+    void note_service_time(const placement& placed, const attempt_outcome& outcome);
+    void count_verdict(const admission& admitted, const load_verdict& verdict);
     void refresh_cold_replicas(time_point now);
     void publish_calibration(time_point now);
     void take_leaving(const peer_report& report, time_point now);
@@ -448,6 +464,7 @@
     std::map<upstream_id, time_point> unreachable_at_; ///< latest failed connection
     link_budget link_;
     prompt_quarantine quarantine_;
+    load_admission admission_;
     retry_policy retries_;
     model_cascade cascade_;
     domain_bills bills_;
--- a/src/proxy/request_flow.cpp
+++ b/src/proxy/request_flow.cpp
@@ -122,6 +122,9 @@
     auto placed = core_.place(*admitted_, request_, history_, now);
     if (!placed) {
         error reason = placed.error();
+        if (core_.refused_for_load(reason)) {
+            return give_up(reason, now);
+        }
         if (const auto held = core_.until_released(*admitted_, history_, now)) {
             if (*held < longest_wait) {
                 return wait_step{*held, reason.detail};
