--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -328,7 +328,7 @@
     /// A second attempt was answered before the first.
     void count_hedge_won(const admission& admitted);
     /// Kind of request by which the times of second attempts are learned.
-    [[nodiscard]] static request_kind kind_of(const admission& admitted, const placement& placed);
+    [[nodiscard]] static hedged_kind kind_of(const admission& admitted, const placement& placed);
     hedge_control& hedging() { return hedges_; }
     [[nodiscard]] const hedge_control& hedging() const { return hedges_; }
     /// Whether an error of place() is a decision under load, with the time after which the caller
--- a/src/proxy/proxy_core_hedging.cpp
+++ b/src/proxy/proxy_core_hedging.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-request_kind proxy_core::kind_of(const admission& admitted, const placement& placed)
+hedged_kind proxy_core::kind_of(const admission& admitted, const placement& placed)
 {
     return {admitted.route->name, placed.model.value_or(0)};
 }
@@ -74,7 +74,7 @@
                                         const send_history& history, const waiting_attempt& first,
                                         time_point now)
 {
-    const request_kind kind = kind_of(admitted, first.placed);
+    const hedged_kind kind = kind_of(admitted, first.placed);
     const duration remaining = hedges_.expected_remaining(kind, now - first.sent_at);
     const time_point endangered_at =
         request.received_at + admitted.route->target_latency - remaining;
--- a/src/proxy/request_flow_hedging.cpp
+++ b/src/proxy/request_flow_hedging.cpp
@@ -55,7 +55,7 @@
     if (attempt.hedge || response_started_) {
         return;
     }
-    const request_kind kind = proxy_core::kind_of(*admitted_, *attempt.placed);
+    const hedged_kind kind = proxy_core::kind_of(*admitted_, *attempt.placed);
     if (attempt.head_at) {
         core_.hedging().record_first_token(kind, now - attempt.sent_at);
     }
--- a/src/retry/hedge_control.hpp
+++ b/src/retry/hedge_control.hpp
@@ -61,11 +61,11 @@
 }};
 
 /// Requests that are expected to take similarly long.
-struct request_kind {
+struct hedged_kind {
     std::string route;
     std::size_t model{0}; ///< index into the route's models; 0 without models
 
-    friend auto operator<=>(const request_kind&, const request_kind&) = default;
+    friend auto operator<=>(const hedged_kind&, const hedged_kind&) = default;
 };
 
 class hedge_control {
@@ -75,30 +75,30 @@
     [[nodiscard]] bool enabled() const { return settings_.percent > 0; }
     [[nodiscard]] duration least_gain() const { return settings_.least_gain; }
     /// Counts a request towards the operators' limit.
-    void count_request(const request_kind& kind);
+    void count_request(const hedged_kind& kind);
     /// Records the time to the first token of an attempt.
-    void record_first_token(const request_kind& kind, duration elapsed);
+    void record_first_token(const hedged_kind& kind, duration elapsed);
     /// Records an attempt that was cancelled or timed out after `elapsed` without a first token.
-    void record_unanswered(const request_kind& kind, duration elapsed);
+    void record_unanswered(const hedged_kind& kind, duration elapsed);
     /// Time at which to ask for a second send of a request sent at `sent_at`; nothing if it must
     /// not be sent again or too few answers of its kind are known.
     [[nodiscard]] std::optional<time_point>
-    hedge_time(const request_kind& kind, const hedge_context& context, time_point sent_at) const;
+    hedge_time(const hedged_kind& kind, const hedge_context& context, time_point sent_at) const;
     /// Expected time until the answer of an attempt that has waited for `elapsed` begins.
-    [[nodiscard]] duration expected_remaining(const request_kind& kind, duration elapsed) const;
-    [[nodiscard]] bool budget_left(const request_kind& kind) const;
+    [[nodiscard]] duration expected_remaining(const hedged_kind& kind, duration elapsed) const;
+    [[nodiscard]] bool budget_left(const hedged_kind& kind) const;
     /// Takes one second send from the budget of the kind.
-    void spend(const request_kind& kind);
+    void spend(const hedged_kind& kind);
 
 private:
     /// Bounds the memory at 1 KiB a kind; beyond it, all kinds are learned again.
     static constexpr std::size_t max_kinds = 256;
 
-    hedge_policy& policy_of(const request_kind& kind);
-    [[nodiscard]] const hedge_policy* find(const request_kind& kind) const;
+    hedge_policy& policy_of(const hedged_kind& kind);
+    [[nodiscard]] const hedge_policy* find(const hedged_kind& kind) const;
 
     hedging_settings settings_;
-    std::map<request_kind, hedge_policy> kinds_;
+    std::map<hedged_kind, hedge_policy> kinds_;
 };
 
 } // namespace wagtailhitch
