--- a/src/proxy/allowed_domains_test.cpp
+++ b/src/proxy/allowed_domains_test.cpp
@@ -17,7 +17,7 @@
 
 class allowed_domains_test : public ::testing::Test {
 protected:
-    void configure(revision version, std::vector<region_id> by_route,
+    void configure(revision version, const std::vector<region_id>& by_route,
                    std::vector<region_id> by_team = {})
     {
         auto contents = make_contents(version);
--- a/src/proxy/cold_replicas_test.cpp
+++ b/src/proxy/cold_replicas_test.cpp
@@ -240,6 +240,7 @@
 TEST_F(cold_replicas_test, request_is_withdrawn_when_its_replica_has_turned_cold_before_the_write)
 {
     std::vector<placement> placed;
+    placed.reserve(20);
     for (int i = 0; i < 20; ++i) {
         placed.push_back(*place());
     }
--- a/src/routing/cold_limiter_test.cpp
+++ b/src/routing/cold_limiter_test.cpp
@@ -189,6 +189,7 @@
         addresses.insert(addresses.end(), list.begin(), list.end());
     }
     std::vector<std::string> newcomers;
+    newcomers.reserve(2);
     for (int i = 0; i < 2; ++i) {
         newcomers.push_back(*rc::gen::elementOf(addresses));
     }
