--- a/src/proxy/cold_replicas_test.cpp
+++ b/src/proxy/cold_replicas_test.cpp
@@ -184,12 +184,7 @@
 {
     announce("app-a", 100, 5s);
     place_all();
-    proxied_request request;
-    request.host = "api.example";
-    request.path = "/read/1";
-    request.key = "key-1";
-    request.received_at = clock_.now();
-    const auto admitted = core_.admit(request, clock_.now());
+    const auto admitted = core_.admit(read_request(), clock_.now());
     const auto wait = core_.until_released(*admitted, {}, clock_.now());
     ASSERT_TRUE(wait.has_value());
     EXPECT_LE(*wait, 1100ms);
@@ -202,12 +197,7 @@
 {
     announce("app-a", 100, 5s);
     const auto placed = place();
-    proxied_request request;
-    request.host = "api.example";
-    request.path = "/read/1";
-    request.key = "key-1";
-    request.received_at = clock_.now();
-    const auto admitted = core_.admit(request, clock_.now());
+    const auto admitted = core_.admit(read_request(), clock_.now());
     for (int i = 0; i < 3; ++i) {
         core_.finish(*placed, {.result = attempt_result::failed}, clock_.now());
     }
