--- a/review/harness-2/lab.hpp
+++ b/review/harness-2/lab.hpp
@@ -538,23 +538,26 @@
     pid_t pid_{-1};
 };
 
-inline std::string publish(const std::string& request, const std::string& body)
+inline std::string publish(const std::string& request, const std::string& body,
+                           const std::string& key = "key-1")
 {
     return "POST /publish/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: " + request +
-           "\r\nDeadline-Ms: 4000\r\nAuthorization: Token key-1\r\nContent-Length: " +
+           "\r\nDeadline-Ms: 4000\r\nAuthorization: Token " + key + "\r\nContent-Length: " +
            std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+inline const std::string one_tenant = "[{\"name\":\"bulletins\",\"apiKeys\":[\"key-1\"]}]";
+
 /// A configuration with one route whose requests must not be repeated.
-inline std::string configuration(int version, std::size_t body_bytes)
+inline std::string configuration(int version, std::size_t body_bytes,
+                                 const std::string& tenants = one_tenant)
 {
     return "{\"version\":" + std::to_string(version) +
            ",\"routes\":[{\"name\":\"publish\",\"host\":\"a.example\",\"pathPrefix\":\"/publish/\","
            "\"kind\":\"non_idempotent\",\"timeoutMs\":4000,\"targetLatencyMs\":300,"
            "\"service\":\"app\",\"maxAttempts\":1,\"priority\":2}],"
            "\"services\":[{\"name\":\"app\"}],"
-           "\"tenants\":[{\"name\":\"bulletins\",\"apiKeys\":[\"key-1\"]}],"
-           "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":" +
+           "\"tenants\":" + tenants + ",\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":" +
            std::to_string(body_bytes) +
            ",\"headerTimeoutMs\":5000,\"idleTimeoutMs\":30000}}";
 }
