--- a/review/harness-2/burst_of_large_bodies.cpp
+++ b/review/harness-2/burst_of_large_bodies.cc
@@ -3,7 +3,7 @@
 //
 //   burst_of_large_bodies ROOT CASE_FOLDER TEMPORARY_FOLDER
 
-#include "lab.hpp"
+#include "lab.hh"
 
 namespace {
 
--- a/review/harness-2/kept_connections_after_change.cpp
+++ b/review/harness-2/kept_connections_after_change.cc
@@ -3,7 +3,7 @@
 //
 //   kept_connections_after_change ROOT CASE_FOLDER TEMPORARY_FOLDER
 
-#include "lab.hpp"
+#include "lab.hh"
 
 namespace {
 
--- a/review/harness-2/last_tenant_removed.cpp
+++ b/review/harness-2/last_tenant_removed.cc
@@ -3,7 +3,7 @@
 //
 //   last_tenant_removed ROOT CASE_FOLDER TEMPORARY_FOLDER
 
-#include "lab.hpp"
+#include "lab.hh"
 
 namespace {
 
