Reject responses whose status is not within 100 to 599

Callers of a proxied route got an answer with status 000 from a replica in trouble. Callers of a service call of the chat interface got it as well, and an append to the store that was answered so was reported as not run, although the store may have stored it.

Cause: Beast's parser accepts any three digits as a status, and the HTTP client passed them on. The proxied route fails a response from status 500 on, and 0 is below.

The HTTP client, which reads the answers of replicas (proxied route, chat interface, probes), of the store and of other VMs, now fails a call whose response has a status outside the range that RFC 9110, section 15, defines. Its users handle a failed call already: the request goes to another replica if it may run again, and is otherwise reported with an unknown outcome.

Probes, chats and records of other VMs required status 200 already.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -148,6 +148,14 @@
     return status >= first && status <= last;
 }
 
+/// Beast accepts any three digits. RFC 9110, section 15, defines no status outside this range.
+bool is_valid_status(unsigned status)
+{
+    constexpr unsigned first = 100;
+    constexpr unsigned last = 599;
+    return status >= first && status <= last;
+}
+
 } // namespace
 
 struct http_client::state : std::enable_shared_from_this<state> {
@@ -461,6 +469,11 @@
             fail(ec.message());
             return false;
         }
+        if (parser_->is_header_done() && !is_valid_status(parser_->get().result_int())) {
+            fail("The response has the invalid status " +
+                 std::to_string(parser_->get().result_int()) + ".");
+            return false;
+        }
         if (parser_->is_done() && is_informational(parser_->get().result_int())) {
             reset_parser();
             continue;
--- a/src/net/net_test_support.hpp
+++ b/src/net/net_test_support.hpp
@@ -125,6 +125,25 @@
     return out;
 }
 
+/// What a server in trouble sends in place of an answer, before it closes the connection.
+struct broken_answer {
+    std::string name;
+    std::string text;
+};
+
+/// Answers that would be complete but for one error in their heads. `fields` are lines of the head.
+inline std::vector<broken_answer> broken_answers(const std::string& fields, const std::string& body)
+{
+    const std::string whole =
+        fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return {
+        {"status_000", "HTTP/1.1 000 Unknown\r\n" + whole},
+        {"status_099", "HTTP/1.1 099 Unknown\r\n" + whole},
+        {"status_600", "HTTP/1.1 600 Unknown\r\n" + whole},
+        {"status_of_two_digits", "HTTP/1.1 20 OK\r\n" + whole},
+    };
+}
+
 class net_fixture : public testing::Test {
 protected:
     /// Timeouts for tests that expect them to expire, and for tests that expect them not to.
--- a/src/net/proxy/proxy_server_test.cpp
+++ b/src/net/proxy/proxy_server_test.cpp
@@ -577,6 +577,56 @@
         return name;
     });
 
+class broken_answer_test : public proxy_server_test,
+                           public testing::WithParamInterface<net_testing::broken_answer> {
+protected:
+    void answer_broken(std::size_t request)
+    {
+        const auto replica = wait_for_request(request);
+        replica->write(GetParam().text);
+        replica->close();
+    }
+};
+
+// Guards against callers that get what a replica in trouble sends as an answer.
+TEST_P(broken_answer_test, reaches_no_caller_and_the_request_goes_to_another_replica)
+{
+    get();
+    answer_broken(1);
+    const auto other = wait_for_request(2);
+    ASSERT_NE(other, nullptr);
+    other->write(small_answer);
+    ASSERT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+    EXPECT_EQ(caller_->received.find("HTTP/1.1 200 OK\r\nX-Id: 1\r\n"), 0U) << caller_->received;
+    EXPECT_EQ(count_of(caller_->received, "HTTP/1.1"), 1U) << caller_->received;
+}
+
+// Guards against a second run, and against a refusal that says that the request has not run.
+TEST_P(broken_answer_test, leaves_the_outcome_of_a_non_idempotent_request_unknown)
+{
+    post("/publish/x", "p");
+    answer_broken(1);
+    ASSERT_TRUE(wait_for_caller_text("HTTP/1.1 502"));
+    EXPECT_NE(caller_->received.find("X-Run: outcome_unknown"), std::string::npos);
+    EXPECT_EQ(requests_received(), 1U);
+}
+
+TEST_P(broken_answer_test, adds_no_event_to_a_stream)
+{
+    post("/report/x", "p");
+    answer_broken(1);
+    const auto other = wait_for_request(2);
+    ASSERT_NE(other, nullptr);
+    other->write(stream_head + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n");
+    ASSERT_TRUE(wait_for_caller_text("0\r\n\r\n"));
+    EXPECT_EQ(count_of(caller_->received, "data:"), 1U) << caller_->received;
+}
+
+INSTANTIATE_TEST_SUITE_P(replica, broken_answer_test,
+                         testing::ValuesIn(net_testing::broken_answers("X-Id: 1\r\n",
+                                                                       "id: 9\ndata: broken\n\n")),
+                         [](const auto& item) { return item.param.name; });
+
 TEST_F(proxy_server_test, informational_answers_are_skipped)
 {
     get();
--- a/src/net/proxy/record_fetch_test.cpp
+++ b/src/net/proxy/record_fetch_test.cpp
@@ -1,7 +1,10 @@
+#include "net/net_test_support.hpp"
 #include "net/proxy/record_fetch.hpp"
 
 #include <gtest/gtest.h>
 
+#include <optional>
+
 namespace wagtailhitch {
 namespace {
 
@@ -21,5 +24,27 @@
     }
 }
 
+class record_fetch_from_vm_test : public net_testing::net_fixture {};
+
+// Guards against records, and against ends of streams, from an answer whose head is broken.
+TEST_F(record_fetch_from_vm_test, broken_answer_is_a_failure)
+{
+    relayed_records records;
+    records.next = 5;
+    for (const auto& broken : net_testing::broken_answers("", encode_relayed_records(records))) {
+        net_testing::scripted_listener vm{io_};
+        detail::http_client client{io_, {}};
+        std::optional<expected<relayed_records>> got;
+        fetch_records(client, vm.address, "replicas", 0,
+                      [&](expected<relayed_records> answer) { got = std::move(answer); });
+        ASSERT_TRUE(pump_until(
+            [&] { return !vm.connections.empty() && !vm.connections[0]->received.empty(); }));
+        vm.connections[0]->write(broken.text);
+        vm.connections[0]->close();
+        ASSERT_TRUE(pump_until([&] { return got.has_value(); }));
+        EXPECT_FALSE(got->has_value()) << broken.name;
+    }
+}
+
 } // namespace
 } // namespace wagtailhitch
--- a/src/net/upstream_client_test.cpp
+++ b/src/net/upstream_client_test.cpp
@@ -316,6 +316,39 @@
     EXPECT_EQ(listener_.connections.size(), 1U);
 }
 
+// Guards against answers with a status or a head that no service sent, and against a call that is
+// reported as not run after its service may have run it.
+TEST_F(net_upstream_client_test, broken_answer_of_a_service_call_leaves_its_outcome_unknown)
+{
+    for (const auto& broken : net_testing::broken_answers("", "1;2")) {
+        inputs_.clear();
+        listener_.connections.clear();
+        scripted_connection& service = receive(service_call());
+        service.write(broken.text);
+        service.close();
+        EXPECT_EQ(name_of(failure().reason.run), name_of(run_state::outcome_unknown))
+            << broken.name;
+        EXPECT_TRUE(inputs_of<attempt_finished>().empty()) << broken.name;
+    }
+}
+
+// Guards against tokens from an answer whose head is broken.
+TEST_F(net_upstream_client_test, broken_answer_to_a_chat_yields_no_token)
+{
+    for (const auto& broken :
+         net_testing::broken_answers("", first_token + final_event + done_event)) {
+        inputs_.clear();
+        listener_.connections.clear();
+        scripted_connection& engine = receive(chat());
+        engine.write(broken.text);
+        engine.close();
+        EXPECT_EQ(name_of(failure().reason.run), name_of(run_state::outcome_unknown))
+            << broken.name;
+        EXPECT_TRUE(inputs_of<attempt_started>().empty()) << broken.name;
+        EXPECT_TRUE(inputs_of<attempt_chunk>().empty()) << broken.name;
+    }
+}
+
 // Guards against answers of a service that are changed, or refusals that count as answers.
 TEST_F(net_upstream_client_test, service_answers_are_passed_on_except_a_refusal)
 {
@@ -401,6 +434,9 @@
     EXPECT_FALSE(next_probe("").reachable);
     EXPECT_FALSE(next_probe(make_response("200 OK", "no JSON", "Connection: close\r\n")).reachable);
     EXPECT_FALSE(next_probe(make_response("500 Failed", "{}", "Connection: close\r\n")).reachable);
+    for (const auto& broken : net_testing::broken_answers("Connection: close\r\n", "{}")) {
+        EXPECT_FALSE(next_probe(broken.text).reachable) << broken.name;
+    }
 }
 
 // Guards against affinity to prefixes that the engine no longer holds.
