Do not complete an answer whose connection was reset during the upload

A replica answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as a complete answer.

Cause: the system reports a reset once. The pending write took the error, and the HTTP client ignored it, since the replica may have answered before it closed. The read then saw an end of file, which completes a response without a length.

The client now remembers that a write failed, and fails a response without a length that ends after it. A broken pipe is exempt: the system reports it when the server had ended its side in an orderly way before. The end of file is handled one turn of the event loop later, because the failed write may be queued behind it: a trace of the stream's test showed the read's end of file before the write's "Connection reset by peer".

Responses with a length or in chunks are not affected; one that is complete before the reset is still delivered (early_answer_test.with_a_length_*), and so is one without a length whose replica closes in an orderly way.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -274,6 +274,7 @@
     time_point deadline_;
     bool written_{false};
     bool request_sent_{false}; ///< the whole request was written to the connection
+    bool reset_{false};        ///< the connection failed while the request was being written
     bool timed_out_{false};
     bool withdrawn_{false};
     bool refused_{false};
@@ -400,6 +401,9 @@
     }
     if (ec) {
         // The server may have responded before it closed; the pending read reports what arrived.
+        // The system reports a reset once, here, and the read then sees an end of file. A broken
+        // pipe means that the server had ended its side before, so that its end of file is real.
+        reset_ = ec != asio::error::broken_pipe;
         return;
     }
     request_sent_ = true;
@@ -443,7 +447,8 @@
         return;
     }
     if (ec == asio::error::eof) {
-        on_end_of_file();
+        // A write that has failed before may be queued behind this handler.
+        asio::post(owner_->io, [self = shared_from_this()] { self->on_end_of_file(); });
         return;
     }
     if (ec) {
@@ -460,6 +465,13 @@
 
 void exchange::on_end_of_file()
 {
+    if (ended_) {
+        return;
+    }
+    if (reset_ && parser_->need_eof()) {
+        fail("The connection was reset before the end of the response.");
+        return;
+    }
     boost_error ec;
     if (parser_->got_some()) {
         parser_->put_eof(ec);
--- a/src/net/net_test_support.hpp
+++ b/src/net/net_test_support.hpp
@@ -55,6 +55,12 @@
         socket_.close(ignored);
     }
 
+    void reset()
+    {
+        socket_.set_option(asio::socket_base::linger{true, 0});
+        close();
+    }
+
     tcp_socket& socket() { return socket_; }
 
     std::string received;
--- a/src/net/proxy/proxy_server_test.cpp
+++ b/src/net/proxy/proxy_server_test.cpp
@@ -375,8 +375,7 @@
     const auto replica = wait_for_request(1);
     replica->write("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart");
     ASSERT_TRUE(pump_until([&] { return log_output_.size() < 100000; }));
-    replica->socket().set_option(boost::asio::socket_base::linger{true, 0});
-    replica->close();
+    replica->reset();
     wait_for_request(2)->write(small_answer);
     ASSERT_TRUE(wait_for_caller_text("\r\n\r\nok"));
     EXPECT_EQ(caller_->received.find("part"), std::string::npos);
@@ -391,25 +390,41 @@
     EXPECT_EQ(first_.connections.size() + second_.connections.size(), 1U);
 }
 
-TEST_F(proxy_server_test, connection_with_an_early_answer_is_not_used_again)
+/// Requests that replicas answer while their bodies are still being sent.
+class early_answer_test : public proxy_server_test {
+protected:
+    void SetUp() override
+    {
+        proxy_server_test::SetUp();
+        auto contents = testing_proxy::make_contents(2);
+        contents.limits.body_bytes = std::size_t{64} * 1024 * 1024;
+        core_.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
+        caller_ = connect_to(io_, server_.address());
+        first_.connections.clear();
+    }
+    /// Sends a request whose body exceeds the buffers of the sockets. Returns the connection of the
+    /// replica, which reads no more of it.
+    scripted_connection_ptr upload(const std::string& path)
+    {
+        caller_->socket().non_blocking(true);
+        const std::string body(std::size_t{16} * 1024 * 1024, 'x');
+        const std::string request_text =
+            "POST " + path +
+            " HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nContent-Length: " + std::to_string(body.size()) +
+            "\r\n\r\n" + body;
+        bool written = false;
+        boost::asio::async_write(caller_->socket(), boost::asio::buffer(request_text),
+                                 [&](boost::system::error_code, std::size_t) { written = true; });
+        EXPECT_TRUE(pump_until([&] { return written; }));
+        auto replica = wait_for_request(1);
+        replica->paused = true;
+        return replica;
+    }
+};
+
+TEST_F(early_answer_test, connection_is_not_used_again)
 {
-    // The body exceeds the socket's buffers, so that its end is still unsent.
-    auto contents = testing_proxy::make_contents(2);
-    contents.limits.body_bytes = std::size_t{64} * 1024 * 1024;
-    core_.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
-    caller_ = connect_to(io_, server_.address());
-    first_.connections.clear();
-    caller_->socket().non_blocking(true);
-    const std::string body(std::size_t{16} * 1024 * 1024, 'x');
-    const std::string head = "POST /publish/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\nContent-Length: " +
-                             std::to_string(body.size()) + "\r\n\r\n";
-    const std::string request_text = head + body;
-    bool written = false;
-    boost::asio::async_write(caller_->socket(), boost::asio::buffer(request_text),
-                             [&](boost::system::error_code, std::size_t) { written = true; });
-    ASSERT_TRUE(pump_until([&] { return written; }));
-    const auto replica = wait_for_request(1);
-    replica->paused = true;
+    const auto replica = upload("/publish/x");
     replica->write(small_answer);
     ASSERT_TRUE(wait_for_caller_text("\r\n\r\nok"));
     get();
@@ -419,6 +434,49 @@
     EXPECT_TRUE(pump_until([&] { return count_of(caller_->received, "200 OK") == 2; }));
 }
 
+// Guards against the part of an answer that passes as complete: the failed write takes the error of
+// the connection, and the read then reports an end like that of an answer without a length.
+TEST_F(early_answer_test, without_length_that_ends_in_a_reset_is_not_complete)
+{
+    const auto replica = upload("/publish/x");
+    replica->write("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\npart");
+    replica->reset();
+    ASSERT_TRUE(wait_for_caller_text("HTTP/1.1 502"));
+    EXPECT_NE(caller_->received.find("X-Run: ran"), std::string::npos) << caller_->received;
+    EXPECT_EQ(caller_->received.find("part"), std::string::npos) << caller_->received;
+}
+
+TEST_F(early_answer_test, stream_without_length_that_ends_in_a_reset_goes_on_at_another_replica)
+{
+    const auto replica = upload("/report/x");
+    replica->write("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Type: text/event-stream\r\n\r\n"
+                   "id: 1\ndata: a\n\n");
+    ASSERT_TRUE(wait_for_caller_text("data: a"));
+    replica->reset();
+    const auto other = wait_for_request(2);
+    ASSERT_NE(other, nullptr) << caller_->received;
+    other->write(event_stream_head + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    ASSERT_TRUE(wait_for_caller_text("0\r\n\r\n"));
+    EXPECT_EQ(count_of(caller_->received, "data: b"), 1U) << caller_->received;
+}
+
+// Guards against dropping an answer that its replica has ended in an orderly way.
+TEST_F(early_answer_test, without_length_that_ends_in_a_close_is_complete)
+{
+    const auto replica = upload("/publish/x");
+    replica->write("HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nwhole");
+    replica->socket().shutdown(boost::asio::socket_base::shutdown_send);
+    ASSERT_TRUE(wait_for_caller_text("\r\n\r\nwhole"));
+}
+
+TEST_F(early_answer_test, with_a_length_is_complete_before_a_reset)
+{
+    const auto replica = upload("/publish/x");
+    replica->write(small_answer);
+    replica->reset();
+    ASSERT_TRUE(wait_for_caller_text("\r\n\r\nok"));
+}
+
 // A late copy of an earlier refusal does not say that the current request was not run.
 TEST_F(proxy_server_test, late_refusal_of_an_earlier_request_does_not_make_a_post_run_twice)
 {
--- a/src/net/upstream_client_test.cpp
+++ b/src/net/upstream_client_test.cpp
@@ -332,6 +332,23 @@
     }
 }
 
+// Guards against the part of an answer that passes as complete: the failed write takes the error of
+// the connection, and the read then reports an end of file.
+TEST_F(net_upstream_client_test, answer_without_length_that_ends_in_a_reset_of_the_upload_is_broken)
+{
+    attempt_start message = service_call();
+    message.payload = std::string(std::size_t{16} * 1024 * 1024, 'x');
+    client_->handle(std::move(message));
+    ASSERT_TRUE(pump_until([&] { return !listener_.connections.empty(); }));
+    scripted_connection& service = *listener_.connections.back();
+    service.paused = true;
+    ASSERT_TRUE(pump_until([&] { return !service.received.empty(); }));
+    service.write("HTTP/1.1 200 OK\r\n\r\npart");
+    service.reset();
+    EXPECT_EQ(failure().reason.run, run_state::outcome_unknown);
+    EXPECT_TRUE(inputs_of<attempt_finished>().empty());
+}
+
 // Guards against tokens from an answer whose head is broken.
 TEST_F(net_upstream_client_test, broken_answer_to_a_chat_yields_no_token)
 {
