Test that an answer that stops in its head is no answer

Operators of similar systems saw a replica stop in the middle of its answer's head and close; their clients got a 200 with an empty or short body. Here the parser reports a partial message for an end of file before the end of the head, and the HTTP client fails the call.

The rows head_that_stops_* of broken_answers() show it for the proxied route, the chat interface, probes, the store and other VMs: in the status line, after it, in a name, in a value, after a line, in the last line break and after an informational response.

--- a/src/net/net_test_support.hpp
+++ b/src/net/net_test_support.hpp
@@ -160,6 +160,13 @@
         {"name_that_begins_with_a_delete", ok + "\x7fX-Other: 1\r\n" + length + end},
         {"empty_name", ok + ": 1\r\n" + length + end},
         {"line_without_a_colon", ok + "X-Other\r\n" + length + end},
+        {"head_that_stops_in_the_status_line", "HTTP/1.1 200 O"},
+        {"head_that_stops_after_the_status_line", "HTTP/1.1 200 OK\r\n"},
+        {"head_that_stops_in_a_name", ok + "Content-Len"},
+        {"head_that_stops_in_a_value", ok + "Content-Length: 1"},
+        {"head_that_stops_after_a_line", ok + "Content-Length: 0\r\n"},
+        {"head_that_stops_in_its_last_line", ok + "Content-Length: 0\r\n\r"},
+        {"head_that_stops_after_an_informational_one", "HTTP/1.1 103 Early Hints\r\n\r\n" + ok},
     };
 }
 
