Read the answers to the command line with the client of the VMs

An operator's command took an answer with status 000 as the answer of the log or of a VM; `submit` counted it as a stored change. It took an informational answer as the final one too, and a field hidden in a folded line as missing.

Cause: the command line had an HTTP client of its own on Beast's parser, without the checks of the client that the VMs use.

cli::exchange() now performs its call with that client and runs the event loop until the answer is complete. Its errors stay as they were: nothing sent is `not_run`, everything after that has an unknown outcome. The timeout still bounds the whole exchange; the event loop runs 200 ms longer, so that the client's own deadlines expire first and tell whether the request was sent.

--- a/src/cli/http_client.cpp
+++ b/src/cli/http_client.cpp
@@ -1,10 +1,9 @@
 #include "cli/http_client.hpp"
 
 #include "config/settings.hpp"
+#include "net/whole_answer.hpp"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
 #include <optional>
 
@@ -12,106 +11,69 @@
 
 namespace {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-
 // A page of the log is bounded by 1 MiB on the server's side; JSON escapes may double it.
-constexpr std::uint64_t max_reply_bytes = 4ULL * 1024 * 1024;
-
-/// Beast's synchronous calls have no timeout, so each asynchronous operation is run to completion
-/// before the next one.
-class blocking_client {
-public:
-    explicit blocking_client(duration timeout) : stream_{context_}
-    {
-        stream_.expires_after(timeout);
-    }
-
-    beast::error_code connect(const asio::ip::tcp::endpoint& endpoint)
-    {
-        stream_.async_connect(endpoint, [this](beast::error_code ec) { result_ = ec; });
-        return run();
-    }
-
-    beast::error_code write(http::request<http::string_body>& request)
-    {
-        http::async_write(stream_, request,
-                          [this](beast::error_code ec, std::size_t) { result_ = ec; });
-        return run();
-    }
+constexpr std::size_t max_reply_bytes = std::size_t{4} * 1024 * 1024;
+/// Time for the client's own deadlines to expire, which tell whether the request was sent.
+constexpr duration deadline_margin = 200ms;
 
-    beast::error_code read(http::response_parser<http::string_body>& parser)
-    {
-        http::async_read(stream_, buffer_, parser,
-                         [this](beast::error_code ec, std::size_t) { result_ = ec; });
-        return run();
-    }
-
-private:
-    beast::error_code run()
-    {
-        context_.restart();
-        context_.run();
-        return result_;
-    }
-
-    asio::io_context context_;
-    beast::tcp_stream stream_;
-    beast::flat_buffer buffer_;
-    beast::error_code result_;
-};
-
-http::request<http::string_body> make_request(const http_request& in)
+detail::http_call make_call(const http_request& in)
 {
-    constexpr unsigned http_1_1 = 11;
-    http::request<http::string_body> out{http::string_to_verb(in.method), in.target, http_1_1};
-    out.set(http::field::host, in.address);
-    out.set(http::field::connection, "close");
+    detail::http_call out;
+    out.address = in.address;
+    out.method = in.method;
+    out.target = in.target;
+    out.body = in.body;
+    out.headers.emplace_back("Connection", "close");
     if (!in.body.empty()) {
-        out.set(http::field::content_type, "application/json");
-        out.body() = in.body;
+        out.headers.emplace_back("Content-Type", "application/json");
     }
-    out.prepare_payload();
+    out.first_byte_timeout = in.timeout;
+    out.progress_timeout = in.timeout;
+    out.body_limit = max_reply_bytes;
     return out;
 }
 
-tl::unexpected<error> failure(const http_request& in, error_code code, run_state run,
-                              const std::string& detail)
+tl::unexpected<error> failure(const http_request& in, const detail::call_failure& why)
 {
-    return tl::unexpected(error{code, step::platform, in.address, run, detail, {}});
+    if (!why.written) {
+        return tl::unexpected(error{error_code::log_unavailable,
+                                    step::platform,
+                                    in.address,
+                                    run_state::not_run,
+                                    why.detail,
+                                    {}});
+    }
+    const auto code = why.timed_out ? error_code::upstream_timeout : error_code::upstream_failed;
+    return tl::unexpected(
+        error{code, step::platform, in.address, run_state::outcome_unknown, why.detail, {}});
 }
 
 } // namespace
 
 expected<http_reply> exchange(const http_request& in)
 {
-    const auto address = parse_socket_address(in.address);
-    if (!address) {
+    if (const auto address = parse_socket_address(in.address); !address) {
         return tl::unexpected(address.error());
     }
-    beast::error_code ec;
-    const auto ip = asio::ip::make_address(address->ip, ec);
-    blocking_client client{in.timeout};
-    if (!ec) {
-        ec = client.connect({ip, address->port});
-    }
-    if (ec) {
-        return failure(in, error_code::log_unavailable, run_state::not_run, ec.message());
-    }
-    auto request = make_request(in);
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(max_reply_bytes);
-    ec = client.write(request);
-    if (!ec) {
-        ec = client.read(parser);
+    boost::asio::io_context io;
+    detail::http_client_settings settings;
+    settings.connect_timeout = in.timeout;
+    detail::http_client client{io, settings};
+    std::optional<detail::whole_answer> answer;
+    detail::fetch_whole(client, make_call(in), [&](const detail::whole_answer& it) {
+        answer = it;
+        io.stop();
+    });
+    io.run_for(in.timeout + deadline_margin);
+    if (!answer) {
+        return failure(
+            in,
+            {.written = true, .timed_out = true, .detail = "The answer was not complete in time."});
     }
-    if (ec) {
-        const auto code = ec == beast::error::timeout ? error_code::upstream_timeout
-                                                      : error_code::upstream_failed;
-        return failure(in, code, run_state::outcome_unknown, ec.message());
+    if (answer->failure) {
+        return failure(in, *answer->failure);
     }
-    return http_reply{parser.get().result_int(), std::move(parser.get().body())};
+    return http_reply{answer->status, std::move(answer->body)};
 }
 
 } // namespace wagtailhitch::cli
