Reject responses with a transfer coding other than chunks

A caller got a body that was not the replica's: for a response with "Transfer-Encoding: chunked, gzip" or with a misspelt coding it got the chunks with their sizes, up to the end of the connection.

Cause: the same as that of folded lines, a head that Beast accepts although its framing is not understood. Beast reads a body with a coding that does not end in chunks up to the end of the connection, and one below chunks as it is; the HTTP client passed it on, and the proxied route drops the header, since it frames the answer anew. The request side rejected such codings before.

The HTTP client now fails the call unless each Transfer-Encoding is "chunked". Requests ask for no other coding: TE is not forwarded.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -166,6 +166,15 @@
 
 using response_parser = http::response_parser<http::string_body>;
 
+/// Beast reads a body with another transfer coding up to the end of the connection, coded. Requests
+/// accept no coding but chunks (RFC 9112, section 7.4).
+bool has_unknown_transfer_coding(const response_parser::value_type& head)
+{
+    const auto [first, last] = head.equal_range(http::field::transfer_encoding);
+    return std::any_of(first, last,
+                       [](const auto& field) { return !beast::iequals(field.value(), "chunked"); });
+}
+
 /// Does what parser.put() does, and also rejects heads that Beast accepts although they are
 /// invalid. Returns after the head, so that only its lines are checked.
 std::size_t put(response_parser& parser, asio::const_buffer bytes, boost_error& ec)
@@ -183,6 +192,9 @@
     else if (parser.is_header_done() && !is_valid_status(parser.get().result_int())) {
         ec = http::error::bad_status;
     }
+    else if (parser.is_header_done() && has_unknown_transfer_coding(parser.get())) {
+        ec = http::error::bad_transfer_encoding;
+    }
     return n;
 }
 
