--- a/src/net/upstream_client_test.cpp
+++ b/src/net/upstream_client_test.cpp
@@ -352,8 +352,8 @@
 // Guards against tokens from an answer whose head is broken.
 TEST_F(net_upstream_client_test, broken_answer_to_a_chat_yields_no_token)
 {
-    for (const auto& broken :
-         net_testing::broken_answers("", first_token + final_event + done_event)) {
+    const std::string events = first_token + final_event + done_event;
+    for (const auto& broken : net_testing::broken_answers("", events)) {
         inputs_.clear();
         listener_.connections.clear();
         scripted_connection& engine = receive(chat());
