Refuse all keys when a configuration's list of teams is empty

Callers whose key had been withdrawn together with its team, the last one of the configuration, were still served, as were callers with a key that no configuration had held. The replicas got these requests without a team.

Cause: catalog_contents kept the teams in a list that was empty both for a record without the field and for one whose list has no entry, and proxy_core::admit() took an empty list for a configuration that needs no keys. The freshness of the configuration was not checked either, because the request had no team.

The list is now optional from the decoder to the decision: unset, requests need no key; empty, no key is valid.

--- a/src/proxy/allowed_domains_test.cpp
+++ b/src/proxy/allowed_domains_test.cpp
@@ -24,7 +24,7 @@
         for (auto& route : contents.routes) {
             route.allowed_regions = by_route;
         }
-        contents.teams.front().allowed_regions = std::move(by_team);
+        contents.teams->front().allowed_regions = std::move(by_team);
         vm_.core.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
         vm_.core.confirm(vm_.clock.now());
     }
--- a/src/proxy/catalog.cpp
+++ b/src/proxy/catalog.cpp
@@ -35,10 +35,12 @@
             return a->path_prefix.size() > b->path_prefix.size();
         });
     }
-    for (const auto& team : contents_.teams) {
-        by_team_name_.emplace(team.name.value, &team);
-        for (const auto& key : team.keys) {
-            by_key_.emplace(key, &team);
+    if (contents_.teams) {
+        for (const auto& team : *contents_.teams) {
+            by_team_name_.emplace(team.name.value, &team);
+            for (const auto& key : team.keys) {
+                by_key_.emplace(key, &team);
+            }
         }
     }
     for (const auto& service : contents_.services) {
--- a/src/proxy/catalog.hpp
+++ b/src/proxy/catalog.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -96,7 +97,8 @@
     revision version{0};
     std::vector<proxy_route> routes;
     std::vector<proxy_service> services;
-    std::vector<proxy_team> teams;
+    /// Unset: requests need no key. An empty list: no key is valid.
+    std::optional<std::vector<proxy_team>> teams;
     request_limits limits;
 };
 
@@ -110,7 +112,12 @@
     [[nodiscard]] const request_limits& limits() const { return contents_.limits; }
     [[nodiscard]] const std::vector<proxy_route>& routes() const { return contents_.routes; }
     [[nodiscard]] const std::vector<proxy_service>& services() const { return contents_.services; }
-    [[nodiscard]] bool has_teams() const { return !contents_.teams.empty(); }
+    /// Whether requests on routes that are not anonymous need a team's key.
+    [[nodiscard]] bool requires_key() const { return contents_.teams.has_value(); }
+    [[nodiscard]] std::size_t team_count() const
+    {
+        return contents_.teams ? contents_.teams->size() : 0;
+    }
 
     /// Returns the host's route with the longest prefix that matches the path, or null.
     [[nodiscard]] const proxy_route* find_route(std::string_view host, std::string_view path) const;
--- a/src/proxy/catalog_test.cpp
+++ b/src/proxy/catalog_test.cpp
@@ -24,7 +24,7 @@
         out.routes = {route("all", "api.example", "/"), route("reports", "api.example", "/r/"),
                       route("drafts", "api.example", "/r/drafts/"),
                       route("other", "other.example", "/r/")};
-        out.teams = {{team_id{"bulletins"}, {"k1", "k2"}, 0, false}};
+        out.teams = std::vector<proxy_team>{{team_id{"bulletins"}, {"k1", "k2"}, 0, false}};
         return out;
     }
     std::string name_of_route(std::string_view host, std::string_view path) const
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -73,6 +73,36 @@
     EXPECT_EQ(refusal(deployment_.request("/nowhere/1")), error_code::not_ready);
 }
 
+// Guards against reading an empty list of teams as one that needs no keys.
+TEST_F(proxy_core_test, configuration_without_a_team_admits_no_request_that_needs_a_key)
+{
+    auto contents = make_contents(2);
+    contents.teams = std::vector<proxy_team>{};
+    contents.routes.push_back(contents.routes.back());
+    contents.routes.back().name = "open";
+    contents.routes.back().path_prefix = "/open/";
+    contents.routes.back().anonymous = true;
+    deployment_.core.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
+    auto request = deployment_.request("/report/1");
+    EXPECT_EQ(refusal(request), error_code::unknown_team);
+    request.key.clear();
+    EXPECT_EQ(refusal(request), error_code::unknown_team);
+    request.path = "/open/1";
+    EXPECT_TRUE(deployment_.core.admit(request, deployment_.clock.now()).has_value());
+}
+
+TEST_F(proxy_core_test, configuration_that_names_no_teams_admits_requests_without_a_key)
+{
+    auto contents = make_contents(2);
+    contents.teams.reset();
+    deployment_.core.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
+    auto request = deployment_.request("/report/1");
+    request.key.clear();
+    const auto admitted = deployment_.core.admit(request, deployment_.clock.now());
+    ASSERT_TRUE(admitted.has_value());
+    EXPECT_TRUE(admitted->team.empty());
+}
+
 TEST_F(proxy_core_test, key_is_not_used_once_it_may_have_been_revoked)
 {
     deployment_.clock.advance(testing_proxy::make_settings().key_validity);
@@ -546,7 +576,7 @@
         vms.back()->core.set_configuration_age_limits(bound - 500ms, 2s);
     }
     auto revoked = make_contents(2);
-    revoked.teams[0].keys = {"key-9"};
+    revoked.teams->front().keys = {"key-9"};
     const auto next = std::make_shared<const proxy_catalog>(std::move(revoked));
     std::optional<time_point> acknowledged_at;
     const auto n = *rc::gen::inRange(20, 120);
--- a/src/proxy/test_proxy.hpp
+++ b/src/proxy/test_proxy.hpp
@@ -35,7 +35,7 @@
                   make_route("publish", "/publish/", "app", route_kind::non_idempotent),
                   make_route("read", "/read/", "app", route_kind::idempotent)};
     out.routes[0].models = {"small", "middle", "large"};
-    out.teams = {{team_id{"bulletins"}, {"key-1"}, 0, false}};
+    out.teams = std::vector<proxy_team>{{team_id{"bulletins"}, {"key-1"}, 0, false}};
     return out;
 }
 
