Refuse a key that no team holds also when no key is needed

A configuration that no longer names teams, after one that did, served callers with the keys that it had taken away, and callers with keys that no configuration had held.

Cause: admission looked at the key only if the configuration has teams.

A request that carries a key is now admitted only for the team that holds it, except on anonymous routes. Requests without a key are served as before if the configuration names no teams.

--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -123,7 +123,8 @@
     }
     admission out{catalog_, route, {}, {}, route->priority, 0, {}, {}};
     std::span<const region_id> team_regions;
-    if (catalog_->requires_key() && !route->anonymous) {
+    // A key that no team holds may have been withdrawn, also by a configuration that needs no keys.
+    if (!route->anonymous && (catalog_->requires_key() || !request.key.empty())) {
         const proxy_team* team = catalog_->find_team(request.key);
         if (team == nullptr) {
             return definitive ? tl::unexpected(refusal(error_code::unknown_team, step::authenticate,
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -103,6 +103,17 @@
     EXPECT_TRUE(admitted->team.empty());
 }
 
+// Guards against a withdrawn key that is valid again once a configuration names no teams at all.
+TEST_F(proxy_core_test, key_of_no_team_is_refused_also_if_no_key_is_needed)
+{
+    auto contents = make_contents(2);
+    contents.teams.reset();
+    deployment_.core.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
+    EXPECT_EQ(refusal(deployment_.request("/report/1")), error_code::unknown_team);
+    deployment_.clock.advance(testing_proxy::make_settings().definitive_refusal_age + 1ms);
+    EXPECT_EQ(refusal(deployment_.request("/report/1")), error_code::not_ready);
+}
+
 TEST_F(proxy_core_test, key_is_not_used_once_it_may_have_been_revoked)
 {
     deployment_.clock.advance(testing_proxy::make_settings().key_validity);
