Ignore empty keys of teams

A team with an empty string among its keys admitted every request without a key.

Cause: a request without a key has an empty one, and the catalog found the team that holds it. Empty keys are no longer entered into the catalog.

Evidence: proxy_core_test.request_without_a_key_is_admitted_for_no_team failed on and passes now.

--- a/src/proxy/catalog.cpp
+++ b/src/proxy/catalog.cpp
@@ -39,7 +39,10 @@
         for (const auto& team : *contents_.teams) {
             by_team_name_.emplace(team.name.value, &team);
             for (const auto& key : team.keys) {
-                by_key_.emplace(key, &team);
+                // Requests without a key have an empty one.
+                if (!key.empty()) {
+                    by_key_.emplace(key, &team);
+                }
             }
         }
     }
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -114,6 +114,18 @@
     EXPECT_EQ(refusal(deployment_.request("/report/1")), error_code::not_ready);
 }
 
+// Guards against requests without a key that are admitted for a team with an empty key.
+TEST_F(proxy_core_test, request_without_a_key_is_admitted_for_no_team)
+{
+    auto contents = make_contents(2);
+    contents.teams->front().keys = {"", "key-1"};
+    deployment_.core.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
+    auto request = deployment_.request("/report/1");
+    EXPECT_TRUE(deployment_.core.admit(request, deployment_.clock.now()).has_value());
+    request.key.clear();
+    EXPECT_EQ(refusal(request), error_code::unknown_team);
+}
+
 TEST_F(proxy_core_test, key_is_not_used_once_it_may_have_been_revoked)
 {
     deployment_.clock.advance(testing_proxy::make_settings().key_validity);
