Check the confirmation and regions of requests whose team has no name

A key of a team with an empty name was used beyond the time in which a withdrawn key must stop, and a waiting request of such a team was sent to other regions than the team's once the team was gone.

Cause: both checks told requests without a key by their empty team. The admission now states whether it was made by a key.

--- a/src/proxy/allowed_domains_test.cpp
+++ b/src/proxy/allowed_domains_test.cpp
@@ -99,6 +99,27 @@
     EXPECT_FALSE(vm_.core.may_use(*admitted, *placed, vm_.clock.now()));
 }
 
+// Guards against requests that lose the regions of their team because its name is empty.
+TEST_F(allowed_domains_test, regions_of_a_team_without_a_name_hold_when_the_team_is_gone)
+{
+    auto contents = make_contents(2);
+    contents.teams->front().name = team_id{};
+    contents.teams->front().allowed_regions = {south};
+    vm_.core.set_catalog(std::make_shared<const proxy_catalog>(contents));
+    const auto request = vm_.request("/read/1");
+    const auto admitted = vm_.core.admit(request, vm_.clock.now());
+    ASSERT_TRUE(admitted.has_value());
+    contents.version = 3;
+    contents.teams->clear();
+    vm_.core.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
+    for (const char* replica : {"app-a", "app-b"}) {
+        vm_.core.replicas().retire(upstream_id{replica});
+    }
+    vm_.core.tick(vm_.clock.now());
+    const auto placed = vm_.core.place(*admitted, request, {}, vm_.clock.now());
+    EXPECT_FALSE(placed.has_value()) << "The request was placed on a replica of another region.";
+}
+
 // The budget of the link limits optional remote sends only.
 TEST_F(allowed_domains_test, request_that_must_leave_the_region_is_not_held_back_by_the_link_budget)
 {
--- a/src/proxy/catalog.hpp
+++ b/src/proxy/catalog.hpp
@@ -63,8 +63,8 @@
 
 struct proxy_team {
     team_id name;
-    std::vector<std::string> keys;
-    std::uint32_t priority{0}; ///< takes precedence over the route's
+    std::vector<std::string> keys; ///< empty ones are ignored
+    std::uint32_t priority{0};     ///< takes precedence over the route's
     bool has_priority{false};
     /// Regions in which the team's requests may be served; empty: all.
     std::vector<region_id> allowed_regions{};
--- a/src/proxy/proxy_core.cpp
+++ b/src/proxy/proxy_core.cpp
@@ -133,6 +133,7 @@
                                     "The key is unknown and the configuration may be outdated.");
         }
         out.team = team->name;
+        out.has_key = true;
         if (auto refused = check_permission(out, now)) {
             return tl::unexpected(std::move(*refused));
         }
@@ -150,7 +151,7 @@
 
 std::optional<error> proxy_core::check_permission(const admission& admitted, time_point now) const
 {
-    if (admitted.team.empty() || configuration_age(now) <= settings_.key_validity) {
+    if (!admitted.has_key || configuration_age(now) <= settings_.key_validity) {
         return std::nullopt;
     }
     return refusal(error_code::not_ready, step::configure,
@@ -298,9 +299,10 @@
         return admitted.regions;
     }
     const proxy_route* route = catalog_->find_route_by_name(admitted.route->name);
-    const proxy_team* team = catalog_->find_team_by_name(admitted.team.value);
+    const proxy_team* team =
+        admitted.has_key ? catalog_->find_team_by_name(admitted.team.value) : nullptr;
     // A route or team that is gone keeps the regions with which the request was admitted.
-    if (route == nullptr || (team == nullptr && !admitted.team.empty())) {
+    if (route == nullptr || (team == nullptr && admitted.has_key)) {
         return admitted.regions;
     }
     return team == nullptr ? allowed_regions{route->allowed_regions, {}}
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -75,12 +75,13 @@
 struct admission {
     std::shared_ptr<const proxy_catalog> catalog; ///< keeps `route` alive
     const proxy_route* route{nullptr};
-    team_id team; ///< empty on anonymous routes
+    team_id team; ///< the holder of the key, if has_key
     std::string service;
     std::uint32_t priority{0};      ///< 0 is served first
     std::uint64_t affinity_hash{0}; ///< hash of the session, or of the request id without one
     time_point answer_deadline;     ///< when the final answer is due
     allowed_regions regions;        ///< of the route and the team
+    bool has_key{false};            ///< admitted by a team's key, which may be withdrawn
 };
 
 /// The earlier attempts of one request.
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -126,6 +126,18 @@
     EXPECT_EQ(refusal(request), error_code::unknown_team);
 }
 
+// Guards against keys that stay valid without a confirmation because their team's name is empty.
+TEST_F(proxy_core_test, key_of_a_team_without_a_name_is_not_used_once_it_may_have_been_revoked)
+{
+    auto contents = make_contents(2);
+    contents.teams->front().name = team_id{};
+    deployment_.core.set_catalog(std::make_shared<const proxy_catalog>(std::move(contents)));
+    EXPECT_TRUE(deployment_.core.admit(deployment_.request("/report/1"), deployment_.clock.now())
+                    .has_value());
+    deployment_.clock.advance(testing_proxy::make_settings().key_validity + 1ms);
+    EXPECT_EQ(refusal(deployment_.request("/report/1")), error_code::not_ready);
+}
+
 TEST_F(proxy_core_test, key_is_not_used_once_it_may_have_been_revoked)
 {
     deployment_.clock.advance(testing_proxy::make_settings().key_validity);
