Wait for addresses that are still in use when a VM starts

A VM whose address another socket held at its start wrote start_failed and ended with status 1, and callers had one VM less until something started it again.

Cause: each address was bound once. A predecessor that is stopping holds its addresses until its stop period ends.

Change: an address that is in use or not assigned yet is tried again every 100 ms for the stop period; then the process ends as before.

--- a/src/net/endpoint.cpp
+++ b/src/net/endpoint.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+/// Short compared with the start of a VM, which takes a few calls to the store.
+constexpr duration bind_retry_after = 100ms;
+
 error address_error(std::string_view text, const std::string& why)
 {
     return error{error_code::internal,
@@ -57,6 +60,16 @@
     return host + ":" + std::to_string(endpoint.port());
 }
 
+error bind_error(const std::string& address, const boost::system::error_code& ec)
+{
+    error out = address_error(address, ec.message());
+    if (ec == boost::system::errc::address_in_use ||
+        ec == boost::system::errc::address_not_available) {
+        out.retry_after = bind_retry_after;
+    }
+    return out;
+}
+
 expected<void> listen_on(tcp_acceptor& acceptor, const std::string& address)
 {
     const auto endpoint = parse_endpoint(address);
@@ -70,7 +83,9 @@
         acceptor.listen(asio::socket_base::max_listen_connections);
     }
     catch (const boost::system::system_error& failure) {
-        return tl::unexpected(address_error(address, failure.code().message()));
+        boost::system::error_code ignored;
+        acceptor.close(ignored);
+        return tl::unexpected(bind_error(address, failure.code()));
     }
     return {};
 }
--- a/src/net/endpoint.hpp
+++ b/src/net/endpoint.hpp
@@ -21,7 +21,11 @@
 expected<tcp::endpoint> parse_endpoint(std::string_view text);
 std::string to_string(const tcp::endpoint& endpoint);
 
-/// Opens, binds and listens. Errors: internal with the address.
+/// The error of an address that could not be bound. Has a retry_after if another process still uses
+/// the address or the host does not have it yet, so that a later try may succeed.
+error bind_error(const std::string& address, const boost::system::error_code& ec);
+
+/// Opens, binds and listens. Errors: internal with the address; see bind_error().
 expected<void> listen_on(tcp_acceptor& acceptor, const std::string& address);
 
 /// Lets the listening socket ignore requests for new connections, while those that are being opened
--- a/src/net/proxy/peer_datagrams.cpp
+++ b/src/net/proxy/peer_datagrams.cpp
@@ -87,12 +87,9 @@
         state_->socket.non_blocking(true, ec);
     }
     if (ec) {
-        return tl::unexpected(error{error_code::internal,
-                                    step::peer,
-                                    state_->settings.address,
-                                    run_state::not_run,
-                                    ec.message(),
-                                    {}});
+        boost_error ignored;
+        state_->socket.close(ignored);
+        return tl::unexpected(detail::bind_error(state_->settings.address, ec));
     }
     state_->read();
     return {};
