Do not take the boot of a machine for a confirmation

A VM that starts within seconds of its machine's boot, cut off from the store, used the keys of a configuration that it got from another VM and that no read had confirmed. Its reports confirmed it for other VMs without the store, whose keys may have been withdrawn longer ago than revokeMs.

Cause: the time of the last confirmation began at the epoch of the clock, which is the boot. An unconfirmed configuration was then as old as the machine's run.

Ages in reports stay finite.

--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -490,12 +490,15 @@
     time_point started_at_;
     std::mt19937_64 generator_;
     std::shared_ptr<const proxy_catalog> catalog_;
-    time_point confirmed_at_{};
+    /// Stands for a confirmation that never took place. Far before the epoch of the clock, which
+    /// may be the boot of the VM a moment ago.
+    static constexpr time_point never_confirmed{-24h};
+    time_point confirmed_at_{never_confirmed};
     /// How far a stream has been read, and the start of the read that last confirmed it.
     struct followed_stream_state {
         log_offset changed_at{0};
         log_offset read_to{0};
-        time_point confirmed_at{};
+        time_point confirmed_at{never_confirmed};
     };
     [[nodiscard]] const followed_stream_state& view(followed_stream stream) const
     {
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -10,6 +10,7 @@
 
 using testing_proxy::make_contents;
 using testing_proxy::make_replica;
+using testing_proxy::make_settings;
 using testing_proxy::proxy_deployment;
 
 class proxy_core_test : public testing::Test {
@@ -572,6 +573,51 @@
     EXPECT_EQ(deployment_.core.configuration_age(deployment_.clock.now()), 2s);
 }
 
+/// A VM whose machine has just booted, so that its clock is near its epoch, knows the configuration
+/// from another VM and has not read the store.
+class booted_vm_test : public ::testing::Test {
+protected:
+    booted_vm_test()
+    {
+        booted_.set_catalog(std::make_shared<const proxy_catalog>(make_contents(1)));
+    }
+
+    const time_point now_{2s};
+    metrics counters_;
+    proxy_core booted_{make_settings("vm-2"), counters_, now_};
+};
+
+// Guards against taking the time since the boot for the age of a confirmation.
+TEST_F(booted_vm_test, key_is_refused_as_not_run_before_the_first_confirmation)
+{
+    proxied_request request = proxy_deployment{}.request("/publish/1");
+    const auto refused = booted_.admit(request, now_);
+    ASSERT_FALSE(refused);
+    EXPECT_EQ(refused.error().code, error_code::not_ready);
+    request.key = "unknown";
+    const auto unknown = booted_.admit(request, now_);
+    ASSERT_FALSE(unknown);
+    EXPECT_EQ(unknown.error().code, error_code::not_ready);
+    EXPECT_FALSE(booted_.ready(now_).ready);
+    booted_.confirm(now_);
+    EXPECT_TRUE(booted_.admit(proxy_deployment{}.request("/publish/1"), now_));
+}
+
+// Guards against a report that confirms a configuration which its sender has never confirmed.
+TEST_F(booted_vm_test, report_before_the_first_confirmation_confirms_nothing_elsewhere)
+{
+    proxy_deployment other;
+    other.clock.advance(10s);
+    booted_.take_report(other.core.make_report(report_scope::vm, other.clock.now()), now_);
+    const auto report =
+        decode_peer_report(encode_peer_report(booted_.make_report(report_scope::vm, now_)));
+    ASSERT_TRUE(report);
+    ASSERT_TRUE(other.core.take_report(*report, other.clock.now()));
+    EXPECT_EQ(other.core.configuration_age(other.clock.now()), 10s);
+    EXPECT_FALSE(other.core.admit(other.request("/publish/1"), other.clock.now()))
+        << "The key may have been revoked.";
+}
+
 /// All VMs together share one repeat slack, however many there are.
 TEST_F(proxy_core_test, repeats_of_many_vms_stay_within_their_common_slack)
 {
