Show accepted requests that a VM cuts when many callers send large bodies

Cause: over its share of memory for callers' bytes a VM closes the connection of the largest and oldest request, also if a replica runs it.

--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -384,6 +384,14 @@
             await asyncio.sleep(0.05)
         raise CannotRun(f"{self.name} did not become ready")
 
+    def peak_memory(self):
+        """The most memory that the process has had, as the system reports it."""
+        try:
+            with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as status:
+                return next((line.strip() for line in status if line.startswith("VmHWM")), "")
+        except OSError:
+            return ""
+
     def end(self):
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGCONT)
