--- a/review/12/case.py
+++ b/review/12/case.py
@@ -11,7 +11,7 @@
 import standins as it  # noqa: E402
 
 HOST = "books.example"
-CONNECTIONS = 12  # kept by clients at each VM
+CONNECTIONS = 16  # kept by clients at each VM
 SPOILED = 50  # one answer in so many of one replica
 CONFIGURATION = {
     "version": 1,
@@ -45,10 +45,10 @@
     store = await it.Store("127.0.0.1", record).start()
     store.put("keyed.op", "config", json.dumps(CONFIGURATION).encode())
     replicas = []
-    for n in range(3):
+    for n in range(4):
         kind = GarblingReplica if trouble and n == 0 else it.Replica
         replica = await kind("127.0.0.1", f"i-{n}", "ledger", "ikeja", store, record,
-                             work_s=0.2).start()
+                             work_s=0.3).start()
         await replica.register()
         replicas.append(replica)
     vms = [it.Vm(f"front-ikeja-{n}", f"127.0.0.1{n}", "ikeja", ports, store, record, scratch, zones)
