Give each run of a review script loopback addresses of its own

Cause: scripts that run beside each other took the same port; review/13 ended with status 2 once in five runs, and held once while the machine was busy. Change: addresses by the process id; review/13 has the three VMs of the site's first zone, so that it doesn't hang on one VM's next read.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -50,7 +50,8 @@
 
 async def case(record, scratch, trouble):
     zones = {"ikeja": "ng-south"}
-    ports = {name: it.free_port(["127.0.0.11", "127.0.0.12"])
+    machines = [it.machine_address(n) for n in range(1, 3)]
+    ports = {name: it.free_port(machines)
              for name in ("front", "ready", "internal")}
     store = await it.Store("127.0.0.1", record).start()
     operator = Operator(store, record)
@@ -60,7 +61,7 @@
         replica = await it.Replica("127.0.0.1", f"i-{n}", "ledger", "ikeja", store, record).start()
         await replica.register()
         replicas.append(replica)
-    vms = [it.Vm(f"front-ikeja-{n}", f"127.0.0.1{n}", "ikeja", ports, store, record, scratch, zones)
+    vms = [it.Vm(f"front-ikeja-{n}", machines[n - 1], "ikeja", ports, store, record, scratch, zones)
            for n in (1, 2)]
     sent = {}  # attempt: (key, when it was sent, VM)
     count = 0
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -41,7 +41,8 @@
 
 async def case(record, scratch, trouble):
     zones = {"ikeja": "ng-south"}
-    ports = {name: it.free_port(["127.0.0.11", "127.0.0.12"])
+    machines = [it.machine_address(n) for n in range(1, 3)]
+    ports = {name: it.free_port(machines)
              for name in ("front", "ready", "internal")}
     store = await it.Store("127.0.0.1", record).start()
     store.put("keyed.op", "config", json.dumps(CONFIGURATION).encode())
@@ -52,7 +53,7 @@
                              work_s=0.3).start()
         await replica.register()
         replicas.append(replica)
-    vms = [it.Vm(f"front-ikeja-{n}", f"127.0.0.1{n}", "ikeja", ports, store, record, scratch, zones)
+    vms = [it.Vm(f"front-ikeja-{n}", machines[n - 1], "ikeja", ports, store, record, scratch, zones)
            for n in (1, 2)]
     count = 0
     closed = []  # (VM, attempt) on a kept connection that was closed without an answer
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -26,7 +26,8 @@
 
 async def case(record, scratch, trouble):
     zones = {"ikeja": "ng-south"}
-    ports = {name: it.free_port(["127.0.0.11", "127.0.0.12"])
+    machines = [it.machine_address(n) for n in range(1, 4)]
+    ports = {name: it.free_port(machines)
              for name in ("front", "ready", "internal")}
     store = await it.Store("127.0.0.1", record).start()
     store.put("keyed.op", "config", json.dumps(CONFIGURATION).encode())
@@ -41,8 +42,8 @@
     # As in the site file: three replicas of the application and nine engines.
     for n in range(12):
         await add(f"i-{n}", "ledger" if n < 3 else "pool")
-    vms = [it.Vm(f"front-ikeja-{n}", f"127.0.0.1{n}", "ikeja", ports, store, record, scratch, zones)
-           for n in (1, 2)]
+    vms = [it.Vm(f"front-ikeja-{n}", machines[n - 1], "ikeja", ports, store, record, scratch, zones)
+           for n in (1, 2, 3)]
     sent = {}
     answers = {}
     count = 0
--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -42,6 +42,12 @@
     """The case could not run: exit status 2."""
 
 
+def machine_address(n):
+    """The loopback address of machine `n` (1 to 15), other ones for each process of a script."""
+    pid = os.getpid()
+    return f"127.{16 + (pid >> 12) % 200}.{(pid >> 4) % 256}.{(pid % 16) * 16 + n}"
+
+
 def free_port(addresses):
     """A TCP and UDP port that is free at all the addresses, outside the ephemeral range."""
     for _ in range(200):
