--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -141,8 +141,10 @@
     def reset_connections(self):
         for writer in list(self.writers):
             it = writer.get_extra_info("socket")
-            if it is not None:
+            try:
                 it.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            except OSError:
+                pass  # It is closed.
             writer.transport.abort()
 
     def stop(self):
