--- a/review/12/case.py
+++ b/review/12/case.py
@@ -14,6 +14,8 @@
 CONNECTIONS = 24  # kept by clients at each VM
 STABILITY_S = 4  # `stabilityWindowMs`: a machine that was started is in touch after it
 SPOILED = 50  # one answer in so many of one replica
+LENGTH = b"Content-Length: "
+TOO_MANY_DIGITS = b"90000000000000"
 CONFIGURATION = {
     "version": 1,
     "routes": [{"name": "post", "host": HOST, "pathPrefix": "/post/", "kind": "non_idempotent",
@@ -35,9 +37,12 @@
         self.answers += 1
         if self.answers % SPOILED == 0:
             self.record.line(f"{self.name} spoils its answer to {fields.get('attempt-id')}")
-            out = out.replace(b"Content-Length: ", b"Content-Length: 90000000000000")
+            out = out.replace(LENGTH, LENGTH + TOO_MANY_DIGITS)
         return out
 
+    def breaks_off(self, answer):
+        return LENGTH + TOO_MANY_DIGITS in answer
+
 
 async def case(record, scratch, trouble):
     zones = {"ikeja": "ng-south"}
--- a/review/harness-3/standins.py
+++ b/review/harness-3/standins.py
@@ -127,6 +127,8 @@
                     break
                 writer.write(out)
                 await writer.drain()
+                if self.breaks_off(out):
+                    break
         except (asyncio.IncompleteReadError, ConnectionError, ValueError, OSError):
             pass
         except asyncio.CancelledError:
@@ -138,6 +140,10 @@
     async def serve(self, method, target, fields, body):
         raise NotImplementedError
 
+    def breaks_off(self, _answer):
+        """Whether the connection is closed after this answer."""
+        return False
+
     def reset_connections(self):
         for writer in list(self.writers):
             it = writer.get_extra_info("socket")
@@ -271,6 +277,7 @@
         self.record = record
         self.work_s = work_s
         self.slots = slots
+        self.free_slots = asyncio.Semaphore(slots)
         self.state = "ready"
         self.seq = 0
         self.born = int(time.time() * 1000)
@@ -305,15 +312,18 @@
 
     async def serve(self, method, target, fields, body):
         attempt = fields.get("attempt-id", "")
-        common = {"Attempt-Id": attempt, "Replica-Id": self.name}
+        common = {"Attempt-Id": attempt}
         if self.state == "draining":
             common["Server-Leaving"] = "1"
         if fields.get("expect-replica", self.name) != self.name:
-            return answer_bytes(421, common, b"")
+            return answer_bytes(421, dict(common, **{"Replica-Id": self.name}), b"")
         self.arrivals.append((self.record.now(), attempt))
-        self.record.line(f"{self.name} runs {attempt} {method} {target} Tenant={fields.get('tenant')}")
-        self.runs[attempt] = self.runs.get(attempt, 0) + 1
-        await asyncio.sleep(self.work_s * random.uniform(0.5, 1.5))
+        # At most `slots` requests run; the others wait.
+        async with self.free_slots:
+            self.record.line(f"{self.name} runs {attempt} {method} {target} "
+                             f"Tenant={fields.get('tenant')}")
+            self.runs[attempt] = self.runs.get(attempt, 0) + 1
+            await asyncio.sleep(self.work_s * random.uniform(0.5, 1.5))
         common["Replica-Signature"] = f"sig.{self.name}.{attempt}"
         return answer_bytes(200, common, f"{self.name} {attempt}".encode())
 
