Compare positions of the store's streams with their epochs

Cause: a position was an offset. The store assigns offsets again in the epoch that it names in Store-Era, which nothing read, so that new records lay before the offsets that VMs held and were skipped, and ends that were equal by chance confirmed them.

Change: a log_position holds the epoch and the offset, so that the compiler finds the comparisons: followers, cache, relayed records, reports, fetches and the conditions of appends. Answers of an earlier epoch, or whose epoch is no number, are discarded. A follower that meets a later epoch reads the newest records again, or takes them from a peer that has; no read of one epoch confirms another. Conditions of an earlier epoch are never sent. A store without epochs is served in epoch 0 with the same messages between VMs but for the epoch's fields, which earlier versions skip, and with the same calls.

--- a/src/base/ids.hpp
+++ b/src/base/ids.hpp
@@ -39,6 +39,24 @@
 /// Position of a record in one stream of the log, from 0.
 using log_offset = std::uint64_t;
 
+/// Numbers the histories of a log. A log that is restored from an older copy begins a new epoch, in
+/// which it assigns offsets again; a log that does not number its epochs stays in epoch 0.
+enum class log_epoch : std::uint64_t {};
+
+[[nodiscard]] constexpr std::uint64_t to_number(log_epoch epoch)
+{
+    return static_cast<std::uint64_t>(epoch);
+}
+
+/// Position in one stream of the log. Offsets compare only within one epoch; every position of a
+/// later epoch is after all positions of earlier ones.
+struct log_position {
+    log_epoch epoch{};
+    log_offset offset{0};
+
+    friend constexpr auto operator<=>(const log_position&, const log_position&) = default;
+};
+
 /// Revision of the configuration: the log offset at which a change took effect; 0 is "none".
 using revision = std::uint64_t;
 
--- a/src/net/proxy/record_fetch.cpp
+++ b/src/net/proxy/record_fetch.cpp
@@ -15,11 +15,25 @@
 /// Larger than the newest records of 4,000 replicas.
 constexpr std::size_t answer_limit = std::size_t{4} * 1024 * 1024;
 
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t out = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [rest, ec] = std::from_chars(text.data(), end, out);
+    return ec == std::errc{} && rest == end ? std::optional{out} : std::nullopt;
+}
+
 } // namespace
 
-std::string records_path(std::string_view stream, log_offset from)
+// VMs of earlier versions know only paths without an epoch.
+std::string records_path(std::string_view stream, log_position from)
 {
-    return std::string{path_prefix} + std::string{stream} + "/" + std::to_string(from);
+    std::string out{path_prefix};
+    out.append(stream).append("/").append(std::to_string(from.offset));
+    if (from.epoch != log_epoch{}) {
+        out.append("/").append(std::to_string(to_number(from.epoch)));
+    }
+    return out;
 }
 
 std::optional<records_query> parse_records_path(std::string_view path)
@@ -34,17 +48,21 @@
     }
     records_query out;
     out.stream = path.substr(0, slash);
-    const std::string_view number = path.substr(slash + 1);
-    const auto* const end = number.data() + number.size();
-    const auto [rest, ec] = std::from_chars(number.data(), end, out.from);
-    if (ec != std::errc{} || rest != end) {
+    path.remove_prefix(slash + 1);
+    const auto second_slash = path.find('/');
+    const auto offset = parse_number(path.substr(0, second_slash));
+    const auto epoch = second_slash == std::string_view::npos
+                           ? std::optional<std::uint64_t>{0}
+                           : parse_number(path.substr(second_slash + 1));
+    if (!offset || !epoch) {
         return std::nullopt;
     }
+    out.from = {log_epoch{*epoch}, *offset};
     return out;
 }
 
 void fetch_records(detail::http_client& client, const std::string& address, std::string_view stream,
-                   log_offset from, std::function<void(expected<relayed_records>)> done)
+                   log_position from, std::function<void(expected<relayed_records>)> done)
 {
     detail::http_call call;
     call.address = address;
--- a/src/net/proxy/record_fetch.hpp
+++ b/src/net/proxy/record_fetch.hpp
@@ -17,11 +17,11 @@
 
 namespace wagtailhitch {
 
-std::string records_path(std::string_view stream, log_offset from);
+std::string records_path(std::string_view stream, log_position from);
 
 struct records_query {
     std::string stream;
-    log_offset from{0};
+    log_position from;
 };
 
 /// Nullopt when the path belongs to another page.
@@ -29,6 +29,6 @@
 
 /// Errors: log_unavailable with the peer's address; malformed_request.
 void fetch_records(detail::http_client& client, const std::string& address, std::string_view stream,
-                   log_offset from, std::function<void(expected<relayed_records>)> done);
+                   log_position from, std::function<void(expected<relayed_records>)> done);
 
 } // namespace wagtailhitch
--- a/src/net/whole_answer.hpp
+++ b/src/net/whole_answer.hpp
@@ -16,6 +16,7 @@
 /// A complete answer, or the reason why there is none.
 struct whole_answer {
     unsigned status{0};
+    header_list headers;
     std::string body;
     std::optional<call_failure> failure;
 
--- a/src/proxy/domain_reports_test.cpp
+++ b/src/proxy/domain_reports_test.cpp
@@ -61,7 +61,7 @@
 
     void apply_version(vm& node, revision version)
     {
-        node.core->note_position(followed_stream::operators, version, version);
+        node.core->note_position(followed_stream::operators, {{}, version}, {{}, version});
         node.core->set_catalog(std::make_shared<const proxy_catalog>(make_contents(version)));
     }
 
--- a/src/proxy/peer_report.cpp
+++ b/src/proxy/peer_report.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t part_evidence_index = 21;
 constexpr std::size_t unreachable_index = 25;
 constexpr std::size_t outcomes_index = 26;
+constexpr std::size_t epochs_index = 27;
 
 json encode_loads(const std::vector<reported_load>& loads)
 {
@@ -390,9 +391,9 @@
                                        report.address,
                                        report.sequence,
                                        report.configuration,
-                                       report.position,
+                                       report.position.offset,
                                        to_milliseconds(report.confirmed_age),
-                                       report.replica_position,
+                                       report.replica_position.offset,
                                        to_milliseconds(report.replica_age),
                                        report.leaving,
                                        encode_received(report.received),
@@ -406,7 +407,9 @@
                                        encode_paces(report.paces),
                                        encode_leaving(report.leaving_replicas),
                                        encode_unreachable(report.unreachable_replicas),
-                                       encode_outcomes(report.outcomes)}));
+                                       encode_outcomes(report.outcomes),
+                                       to_number(report.position.epoch),
+                                       to_number(report.replica_position.epoch)}));
 }
 
 expected<peer_report> decode_peer_report(std::string_view data)
@@ -427,9 +430,9 @@
     report.address = in.text();
     report.sequence = in.number();
     report.configuration = in.number();
-    report.position = in.number();
+    report.position.offset = in.number();
     report.confirmed_age = milliseconds(in.integer());
-    report.replica_position = in.number();
+    report.replica_position.offset = in.number();
     report.replica_age = milliseconds(in.integer());
     report.leaving = in.flag();
     const bool lists_decoded =
@@ -448,6 +451,10 @@
         (value->size() <= unreachable_index ||
          decode_unreachable(in.array(), report.unreachable_replicas)) &&
         (value->size() <= outcomes_index || decode_outcomes(in.array(), report.outcomes));
+    if (value->size() > epochs_index) {
+        report.position.epoch = log_epoch{in.number()};
+        report.replica_position.epoch = log_epoch{in.number()};
+    }
     if (!known || !scope || !lists_decoded || !in.complete()) {
         return tl::unexpected(malformed(step::peer, report_name));
     }
--- a/src/proxy/peer_report.hpp
+++ b/src/proxy/peer_report.hpp
@@ -119,10 +119,11 @@
     std::string address;      ///< "IP:port" at which the VM receives reports
     std::uint64_t sequence{0};
     revision configuration{0};
-    log_offset position{0};   ///< in the operators' records: read up to here
+    /// Position of the last change read from the operators' records.
+    log_position position;
     duration confirmed_age{}; ///< since the start of the last read that confirmed it
     /// Position of the last change read from the replicas' records.
-    log_offset replica_position{0};
+    log_position replica_position;
     duration replica_age{}; ///< since the start of the last read that confirmed it
     bool leaving{false};
     std::vector<received_report> received;
--- a/src/proxy/peer_report_test.cpp
+++ b/src/proxy/peer_report_test.cpp
@@ -18,9 +18,9 @@
     out.address = "10.0.0.1:7340";
     out.sequence = 5;
     out.configuration = 9;
-    out.position = 44;
+    out.position = {log_epoch{3}, 44};
     out.confirmed_age = 120ms;
-    out.replica_position = 812;
+    out.replica_position = {log_epoch{2}, 812};
     out.replica_age = 340ms;
     out.received = {{{vm_id{"b-1"}, 18}, 77}};
     out.loads = {{upstream_id{"r1"}, 4}};
--- a/src/proxy/peer_table.cpp
+++ b/src/proxy/peer_table.cpp
@@ -279,7 +279,7 @@
 }
 
 std::optional<std::string> peer_table::address_of_peer_ahead(followed_stream stream,
-                                                             log_offset position, bool speaker,
+                                                             log_position position, bool speaker,
                                                              time_point now) const
 {
     const auto position_of = [stream](const peer_report& report) {
@@ -287,7 +287,7 @@
     };
     const peer_report* best = nullptr;
     const auto consider = [&](const peer& item, bool is_candidate) {
-        const log_offset known = best == nullptr ? position : position_of(*best);
+        const log_position known = best == nullptr ? position : position_of(*best);
         if (is_candidate && position_of(item.report) > known) {
             best = &item.report;
         }
--- a/src/proxy/peer_table.hpp
+++ b/src/proxy/peer_table.hpp
@@ -80,7 +80,7 @@
     /// Address of the live member that has read a stream furthest beyond `position`. If there is no
     /// such member, the speaker gets the address of another domain's speaker that has.
     [[nodiscard]] std::optional<std::string> address_of_peer_ahead(followed_stream stream,
-                                                                   log_offset position,
+                                                                   log_position position,
                                                                    bool speaker,
                                                                    time_point now) const;
 
--- a/src/proxy/peer_table_test.cpp
+++ b/src/proxy/peer_table_test.cpp
@@ -14,7 +14,7 @@
         out.from = {vm_id{vm}, 1};
         out.address = vm + ":1";
         out.sequence = sequence;
-        out.position = 7;
+        out.position = {{}, 7};
         out.loads = {{upstream_id{"r"}, 2}};
         return out;
     }
@@ -122,18 +122,18 @@
 TEST_F(peer_table_test, peer_that_has_read_further_is_found)
 {
     take("a", 1);
-    const auto address_of_peer_ahead = [this](log_offset position, bool speaker) {
-        return table_.address_of_peer_ahead(followed_stream::operators, position, speaker,
+    const auto address_of_peer_ahead = [this](log_offset offset, bool speaker) {
+        return table_.address_of_peer_ahead(followed_stream::operators, {{}, offset}, speaker,
                                             clock_.now());
     };
     EXPECT_EQ(address_of_peer_ahead(6, false), "a:1");
     EXPECT_EQ(address_of_peer_ahead(7, false), std::nullopt);
-    EXPECT_EQ(table_.address_of_peer_ahead(followed_stream::replicas, 0, true, clock_.now()),
+    EXPECT_EQ(table_.address_of_peer_ahead(followed_stream::replicas, {}, true, clock_.now()),
               std::nullopt);
     auto ahead_digest = report("x", 1);
     ahead_digest.scope = report_scope::domain;
     ahead_digest.domain = failure_domain_id{"b"};
-    ahead_digest.position = 9;
+    ahead_digest.position = {{}, 9};
     table_.take(ahead_digest, clock_.now());
     EXPECT_EQ(address_of_peer_ahead(7, false), std::nullopt)
         << "Only the speaker asks another domain.";
@@ -141,6 +141,21 @@
     EXPECT_EQ(address_of_peer_ahead(6, true), "a:1") << "Members are preferred to other domains.";
 }
 
+// Guards against a VM that keeps what the store has lost: the offsets of a later epoch are lower.
+TEST_F(peer_table_test, peer_that_has_read_a_later_epoch_is_ahead_at_any_offset)
+{
+    auto peer = report("a", 1);
+    peer.position = {log_epoch{2}, 3};
+    table_.take(peer, clock_.now());
+    const auto ahead_of = [this](log_position position) {
+        return table_.address_of_peer_ahead(followed_stream::operators, position, true,
+                                            clock_.now());
+    };
+    EXPECT_EQ(ahead_of({log_epoch{1}, 9}), "a:1");
+    EXPECT_EQ(ahead_of({log_epoch{2}, 3}), std::nullopt);
+    EXPECT_EQ(ahead_of({log_epoch{3}, 0}), std::nullopt);
+}
+
 TEST_F(peer_table_test, report_rate_of_a_large_deployment_is_bounded_and_peers_stay_live)
 {
     constexpr int vms = 200;
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -205,7 +205,7 @@
     void confirm(time_point asked_at);
     /// Records that the stream has been read up to `read_to` and that its last record with a change
     /// ends at `changed_at`.
-    void note_position(followed_stream stream, log_offset changed_at, log_offset read_to);
+    void note_position(followed_stream stream, log_position changed_at, log_position read_to);
     /// Records that a read which began at `asked_at` found no further records.
     void note_read(followed_stream stream, time_point asked_at);
     /// Whether a replica announces software that may belong to a roll-out whose order this VM has
@@ -241,6 +241,11 @@
     bool take_report(const peer_report& report, time_point now);
     /// Creates the report for the members of the failure domain, or the digest for other domains.
     [[nodiscard]] peer_report make_report(report_scope scope, time_point now);
+    /// Number of live VMs of the failure domain that precede this one.
+    [[nodiscard]] std::size_t member_rank(time_point now) const
+    {
+        return peers_.member_rank(stopping_, now);
+    }
     /// Whether this VM sends the digest of its failure domain.
     [[nodiscard]] bool sends_domain_digest(time_point now) const;
     /// Does the periodic work; returns the roll-out states that this VM should publish now.
@@ -496,15 +501,15 @@
     time_point confirmed_at_{never_confirmed};
     /// How far a stream has been read, and the start of the read that last confirmed it.
     struct followed_stream_state {
-        log_offset changed_at{0};
-        log_offset read_to{0};
+        log_position changed_at;
+        log_position read_to;
         time_point confirmed_at{never_confirmed};
     };
     [[nodiscard]] const followed_stream_state& view(followed_stream stream) const
     {
         return streams_[static_cast<std::size_t>(stream)];
     }
-    void confirm(followed_stream stream, log_offset changed_at, time_point asked_at);
+    void confirm(followed_stream stream, log_position changed_at, time_point asked_at);
     std::array<followed_stream_state, 2> streams_{}; ///< indexed by followed_stream
     reading_schedule schedule_;
     bool stopping_{false};
--- a/src/proxy/proxy_core_state.cpp
+++ b/src/proxy/proxy_core_state.cpp
@@ -22,7 +22,8 @@
     confirmed_at_ = std::max(confirmed_at_, asked_at);
 }
 
-void proxy_core::note_position(followed_stream stream, log_offset changed_at, log_offset read_to)
+void proxy_core::note_position(followed_stream stream, log_position changed_at,
+                               log_position read_to)
 {
     followed_stream_state& known = streams_[static_cast<std::size_t>(stream)];
     known.changed_at = changed_at;
@@ -35,11 +36,11 @@
 }
 
 // A read that found the last change at `changed_at` confirms the stream only if this VM has read
-// that change.
-void proxy_core::confirm(followed_stream stream, log_offset changed_at, time_point asked_at)
+// that change. A read of another epoch confirms nothing.
+void proxy_core::confirm(followed_stream stream, log_position changed_at, time_point asked_at)
 {
     followed_stream_state& known = streams_[static_cast<std::size_t>(stream)];
-    if (known.read_to >= changed_at) {
+    if (known.read_to.epoch == changed_at.epoch && known.read_to >= changed_at) {
         known.confirmed_at = std::max(known.confirmed_at, asked_at);
     }
 }
@@ -74,18 +75,17 @@
 
 duration proxy_core::until_read(followed_stream stream, time_point now) const
 {
-    return schedule_.until_read(peers_.member_rank(stopping_, now),
-                                now - view(stream).confirmed_at);
+    return schedule_.until_read(member_rank(now), now - view(stream).confirmed_at);
 }
 
 duration proxy_core::until_retry(unsigned failures, time_point now) const
 {
-    return schedule_.until_retry(peers_.member_rank(stopping_, now), failures);
+    return schedule_.until_retry(member_rank(now), failures);
 }
 
 bool proxy_core::sends_domain_digest(time_point now) const
 {
-    return peers_.member_rank(stopping_, now) == 0;
+    return member_rank(now) == 0;
 }
 
 void proxy_core::set_configuration_age_limits(duration key_validity,
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -244,7 +244,7 @@
 
 TEST_F(proxy_core_test, software_that_appears_before_its_order_is_known_gets_no_requests)
 {
-    deployment_.core.note_position(followed_stream::operators, 1, 1);
+    deployment_.core.note_position(followed_stream::operators, {{}, 1}, {{}, 1});
     deployment_.core.note_read(followed_stream::operators, deployment_.clock.now());
     deployment_.clock.advance(1s);
     deployment_.announce(make_replica("new-a", "engine", "a", "v2"));
@@ -254,11 +254,33 @@
         EXPECT_EQ(software_for("s" + std::to_string(i)), "v1");
     }
     deployment_.clock.advance(1s);
-    deployment_.core.note_position(followed_stream::operators, 2, 2);
+    deployment_.core.note_position(followed_stream::operators, {{}, 2}, {{}, 2});
     deployment_.core.note_read(followed_stream::operators, deployment_.clock.now());
     EXPECT_FALSE(deployment_.core.has_unverified_software()) << "No roll-out was ordered for it.";
 }
 
+// Guards against a VM that stops reading because of confirmations that concern another history.
+TEST_F(proxy_core_test, read_by_a_peer_confirms_a_stream_in_the_same_epoch_only)
+{
+    constexpr auto stream = followed_stream::replicas;
+    proxy_deployment other{"vm-0"};
+    const auto until_read = [&](log_epoch epoch) {
+        const log_position read_to{epoch, 1};
+        other.core.note_position(stream, read_to, read_to);
+        other.core.note_read(stream, other.clock.now());
+        other.core.take_report(
+            deployment_.core.make_report(report_scope::vm, deployment_.clock.now()),
+            other.clock.now());
+        deployment_.core.take_report(other.core.make_report(report_scope::vm, other.clock.now()),
+                                     deployment_.clock.now());
+        return deployment_.core.until_read(stream, deployment_.clock.now());
+    };
+    deployment_.core.note_position(stream, {log_epoch{2}, 5}, {log_epoch{2}, 5});
+    EXPECT_EQ(until_read(log_epoch{1}), 0s);
+    EXPECT_EQ(until_read(log_epoch{3}), 0s);
+    EXPECT_GT(until_read(log_epoch{2}), 0s);
+}
+
 TEST_F(proxy_core_test, session_keeps_its_version_when_it_moves_to_another_vm)
 {
     proxy_deployment other{"vm-2"};
--- a/src/proxy/record_cache.hpp
+++ b/src/proxy/record_cache.hpp
@@ -9,7 +9,7 @@
 // records.
 //
 //   cache.reset(newest_records, next);            // all keys of the stream
-//   cache.update({"i-1", value, offset});         // a change since then
+//   cache.update({"i-1", value, position});        // a change since then
 //   relayed_records missed = cache.since(from, next);
 
 namespace wagtailhitch {
@@ -18,17 +18,18 @@
 public:
     /// Replaces the contents by all keys of the stream as of `next`. The cache does not know which
     /// keys were dropped before.
-    void reset(std::vector<relayed_record> records, log_offset next);
+    void reset(std::vector<relayed_record> records, log_position next);
     void update(relayed_record record);
     /// Returns the records that a VM needs that has read up to `from`. If keys may have been
-    /// dropped that the cache does not know of, these are the newest records of all keys, as a
-    /// snapshot.
-    [[nodiscard]] relayed_records since(std::string stream, log_offset from, log_offset next) const;
+    /// dropped that the cache does not know of, or `from` is of another epoch, these are the newest
+    /// records of all keys, as a snapshot.
+    [[nodiscard]] relayed_records since(std::string stream, log_position from,
+                                        log_position next) const;
 
 private:
     std::map<std::string, relayed_record>
-        latest_records_; ///< empty value: dropped since snapshot_offset_
-    log_offset snapshot_offset_{0};
+        latest_records_; ///< empty value: dropped since snapshot_position_
+    log_position snapshot_position_;
 };
 
 } // namespace wagtailhitch
--- a/src/proxy/relayed_records.hpp
+++ b/src/proxy/relayed_records.hpp
@@ -18,16 +18,17 @@
 struct relayed_record {
     std::string key;
     std::string value; ///< empty: the key was dropped
-    log_offset offset{0};
+    log_position position;
 
     friend bool operator==(const relayed_record&, const relayed_record&) = default;
 };
 
 struct relayed_records {
     std::string stream;
-    /// A receiver that has read up to this offset or further can apply these records without a gap.
-    log_offset complete_from{0};
-    log_offset next{0};   ///< offset at which the next read begins
+    /// A receiver that has read up to here or further, in the same epoch, can apply these records
+    /// without a gap.
+    log_position complete_from;
+    log_position next;    ///< where the next read begins; all positions are of its epoch
     bool snapshot{false}; ///< holds the newest record of every key; other keys were dropped
     std::vector<relayed_record> records;
 
--- a/src/proxy/relayed_records_test.cpp
+++ b/src/proxy/relayed_records_test.cpp
@@ -8,7 +8,12 @@
 
 relayed_records sample()
 {
-    return {"replicas", 40, 44, true, {{"r-1", std::string{"\x00{\xff", 3}, 41}, {"r-2", "", 43}}};
+    const log_epoch epoch{5};
+    return {"replicas",
+            {epoch, 40},
+            {epoch, 44},
+            true,
+            {{"r-1", std::string{"\x00{\xff", 3}, {epoch, 41}}, {"r-2", "", {epoch, 43}}}};
 }
 
 TEST(relayed_records_test, records_round_trip)
