Grow bodies with the bytes that arrive

Cause: Beast's string_body reserves the announced length at the first byte of the body. Calls to replicas and chats have no body limit, since they may be streams.

Change: bodies are held in a message_body, which reserves nothing and reports memory that cannot be had as an error of its own exchange; requests of callers use it too, so that a head reserves no maxBodyBytes. An answer that is passed on whole fails at its head when it announces more than a VM buffers (4 MiB, as before for the bytes that arrive); a stream is passed on whatever its length.

Evidence: with string_body, oversized_answer_test (length) and the tests stream_with_any_length_* of replicas fail with std::bad_alloc; they pass now. Answers of the store, of other VMs, of services and to the command line have a limit and passed the same answers before too; they are tested with them now.

--- a/src/cli/http_client_test.cpp
+++ b/src/cli/http_client_test.cpp
@@ -68,7 +68,7 @@
 // reported as not submitted after the log may have accepted it.
 TEST_F(cli_http_client_test, broken_answer_leaves_the_outcome_unknown)
 {
-    for (const auto& broken : net_testing::broken_answers("", "{}")) {
+    for (const auto& broken : net_testing::unusable_answers("", "{}")) {
         const auto got = exchange_with("POST", "{}", broken.text);
         EXPECT_FALSE(got.has_value()) << broken.name;
         if (!got) {
--- a/src/net/caller_connection.hpp
+++ b/src/net/caller_connection.hpp
@@ -3,10 +3,10 @@
 #include "net/caller_server.hpp"
 #include "net/caller_text.hpp"
 #include "net/endpoint.hpp"
+#include "net/message_body.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <memory>
 #include <optional>
@@ -82,7 +82,7 @@
     void close_without_report();
 
 private:
-    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using request_parser = boost::beast::http::request_parser<message_body>;
     using boost_error = boost::system::error_code;
 
     enum class phase { idle, receiving, answering, lingering, closed };
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.hpp"
 
 #include "net/endpoint.hpp"
+#include "net/message_body.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -164,7 +165,7 @@
            lines.find("\n\t") != std::string_view::npos;
 }
 
-using response_parser = http::response_parser<http::string_body>;
+using response_parser = http::response_parser<message_body>;
 
 /// Beast reads a body with another transfer coding up to the end of the connection, coded. Requests
 /// accept no coding but chunks (RFC 9112, section 7.4).
@@ -553,6 +554,9 @@
     out.request_id = std::string{head["X-Request-Id"]};
     out.retry_after = std::string{head[http::field::retry_after]};
     out.on_reused_connection = reused_;
+    if (const auto length = parser_->content_length(); length && !parser_->is_done()) {
+        out.body_length = *length;
+    }
     for (const auto& field : head) {
         out.headers.emplace_back(field.name_string(), field.value());
     }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -60,6 +61,7 @@
     std::string retry_after;          ///< header Retry-After, empty when absent
     bool on_reused_connection{false}; ///< another exchange on the connection preceded this one
     header_list headers;              ///< all headers, in the order of arrival
+    std::optional<std::uint64_t> body_length; ///< as announced, if bytes of the body are to come
 };
 
 struct http_hooks {
--- a/src/net/net_test_support.hpp
+++ b/src/net/net_test_support.hpp
@@ -164,6 +164,8 @@
         {"transfer_coding_after_chunks", ok + "Transfer-Encoding: chunked, gzip\r\n" + end},
         {"transfer_coding_below_chunks", ok + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"},
         {"transfer_coding_with_a_length", ok + "Transfer-Encoding: gzip\r\n" + length + end},
+        {"length_beyond_64_bits", ok + "Content-Length: 99999999999999999999999\r\n\r\n"},
+        {"chunk_beyond_64_bits", ok + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n"},
         {"head_that_stops_in_the_status_line", "HTTP/1.1 200 O"},
         {"head_that_stops_after_the_status_line", "HTTP/1.1 200 OK\r\n"},
         {"head_that_stops_in_a_name", ok + "Content-Len"},
@@ -174,6 +176,26 @@
     };
 }
 
+/// Answers that end after the first bytes of a body that is larger than any memory.
+inline std::vector<broken_answer> oversized_answers(const std::string& fields)
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\n" + fields;
+    return {
+        {"length", ok + "Content-Length: 90000000000000000\r\n\r\npart"},
+        {"chunk", ok + "Transfer-Encoding: chunked\r\n\r\n40000000000000\r\npart"},
+    };
+}
+
+/// All of these answers.
+inline std::vector<broken_answer> unusable_answers(const std::string& fields,
+                                                   const std::string& body)
+{
+    auto out = broken_answers(fields, body);
+    const auto oversized = oversized_answers(fields);
+    out.insert(out.end(), oversized.begin(), oversized.end());
+    return out;
+}
+
 class net_fixture : public testing::Test {
 protected:
     /// Timeouts for tests that expect them to expire, and for tests that expect them not to.
--- a/src/net/proxy/proxied_connection.hpp
+++ b/src/net/proxy/proxied_connection.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "net/endpoint.hpp"
+#include "net/message_body.hpp"
 #include "net/proxy/proxy_server.hpp"
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <array>
 #include <memory>
@@ -81,7 +81,7 @@
     [[nodiscard]] bool busy() const { return exchange_ != nullptr || answering_ || writing_; }
 
 private:
-    using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using request_parser = boost::beast::http::request_parser<detail::message_body>;
     using boost_error = boost::system::error_code;
 
     void next_request();
--- a/src/net/proxy/proxied_exchange.cpp
+++ b/src/net/proxy/proxied_exchange.cpp
@@ -255,6 +255,7 @@
     response_head head_info = context_.dialect.read_head(head, flow_.request());
     head_info.on_reused_connection = head.on_reused_connection;
     last_confidence_ = head_info.confidence.value_or(-1);
+    const std::uint64_t announced_length = head.body_length.value_or(0);
     const bool begun = flow_.response_started();
     head_info.other_content_type =
         begun && !have_same_type(head.content_type, answer_.content_type);
@@ -269,6 +270,11 @@
     cancel_overtaken();
     if (std::holds_alternative<relay_step>(step)) {
         relay_mode_ = stream ? relay_mode::stream : relay_mode::whole;
+        if (!stream && announced_length > whole_answer_limit) {
+            fail_oversized_answer(error_code::upstream_failed,
+                                  "The answer's head announces more than this VM can buffer.");
+            return;
+        }
         context_.deadlines.cancel(hedge_timer_);
         last_replica_ = replica;
         if (stream) {
--- a/src/net/proxy/proxy_server_test.cpp
+++ b/src/net/proxy/proxy_server_test.cpp
@@ -685,6 +685,56 @@
                                                                        "id: 9\ndata: broken\n\n")),
                          [](const auto& item) { return item.param.name; });
 
+class oversized_answer_test : public proxy_server_test,
+                              public testing::WithParamInterface<net_testing::broken_answer> {};
+
+// Guards against a VM that ends, with all of its requests, at the length in one answer's head
+// (review/12).
+TEST_P(oversized_answer_test, ends_its_own_attempt_only)
+{
+    const auto other_caller = connect_to(io_, server_.address());
+    other_caller->write("GET /read/x HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n");
+    const auto sound = wait_for_request(1);
+    ASSERT_NE(sound, nullptr);
+    post("/publish/x", "p");
+    const auto replica = wait_for_request(2);
+    ASSERT_NE(replica, nullptr);
+    replica->write(GetParam().text);
+    replica->close();
+    ASSERT_TRUE(wait_for_caller_text("HTTP/1.1 502"));
+    EXPECT_EQ(caller_->received.find("X-Run: not_run"), std::string::npos);
+    sound->write(small_answer);
+    EXPECT_TRUE(
+        pump_until([&] { return other_caller->received.find("\r\n\r\nok") != std::string::npos; }));
+    EXPECT_EQ(requests_received(), 2U) << "The request may have run and must not be sent again.";
+}
+
+INSTANTIATE_TEST_SUITE_P(replica, oversized_answer_test,
+                         testing::ValuesIn(net_testing::oversized_answers("X-Id: 1\r\n")),
+                         [](const auto& item) { return item.param.name; });
+
+// Guards against buffering an answer that cannot be passed on, up to the limit or the deadline.
+TEST_F(proxy_server_test, answer_that_announces_more_than_a_vm_buffers_fails_at_its_head)
+{
+    post("/publish/x", "p");
+    wait_for_request(1)->write("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4194305\r\n\r\n");
+    ASSERT_TRUE(wait_for_caller_text("HTTP/1.1 502"));
+    EXPECT_NE(caller_->received.find("X-Run: ran"), std::string::npos);
+}
+
+// Guards against holding back a stream because of a length in its head.
+TEST_F(proxy_server_test, stream_with_any_length_is_passed_on_as_it_arrives)
+{
+    post("/report/x", "p");
+    const auto replica = wait_for_request(1);
+    replica->write("HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 90000000000000000\r\n\r\n"
+                   "id: 1\ndata: a\n\n");
+    ASSERT_TRUE(wait_for_caller_text("data: a"));
+    replica->close();
+    wait_for_request(2)->write(stream_head + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    ASSERT_TRUE(wait_for_caller_text("data: b"));
+}
+
 TEST_F(proxy_server_test, informational_answers_are_skipped)
 {
     get();
--- a/src/net/proxy/record_fetch_test.cpp
+++ b/src/net/proxy/record_fetch_test.cpp
@@ -36,7 +36,7 @@
 {
     relayed_records records;
     records.next = {{}, 5};
-    for (const auto& broken : net_testing::broken_answers("", encode_relayed_records(records))) {
+    for (const auto& broken : net_testing::unusable_answers("", encode_relayed_records(records))) {
         net_testing::scripted_listener vm{io_};
         detail::http_client client{io_, {}};
         std::optional<expected<relayed_records>> got;
--- a/src/net/upstream_client_test.cpp
+++ b/src/net/upstream_client_test.cpp
@@ -320,7 +320,7 @@
 // reported as not run after its service may have run it.
 TEST_F(net_upstream_client_test, broken_answer_of_a_service_call_leaves_its_outcome_unknown)
 {
-    for (const auto& broken : net_testing::broken_answers("", "1;2")) {
+    for (const auto& broken : net_testing::unusable_answers("", "1;2")) {
         inputs_.clear();
         listener_.connections.clear();
         scripted_connection& service = receive(service_call());
@@ -366,6 +366,16 @@
     }
 }
 
+// Guards against a VM that ends, with all of its requests, at the length in one answer's head.
+TEST_F(net_upstream_client_test, stream_with_any_length_yields_tokens_as_they_arrive)
+{
+    scripted_connection& engine = receive(chat());
+    engine.write("HTTP/1.1 200 OK\r\nContent-Length: 90000000000000000\r\n\r\n" + first_token);
+    EXPECT_TRUE(pump_until_input<attempt_chunk>());
+    engine.close();
+    EXPECT_EQ(name_of(failure().reason.run), name_of(run_state::outcome_unknown));
+}
+
 // Guards against answers of a service that are changed, or refusals that count as answers.
 TEST_F(net_upstream_client_test, service_answers_are_passed_on_except_a_refusal)
 {
@@ -451,7 +461,7 @@
     EXPECT_FALSE(next_probe("").reachable);
     EXPECT_FALSE(next_probe(make_response("200 OK", "no JSON", "Connection: close\r\n")).reachable);
     EXPECT_FALSE(next_probe(make_response("500 Failed", "{}", "Connection: close\r\n")).reachable);
-    for (const auto& broken : net_testing::broken_answers("Connection: close\r\n", "{}")) {
+    for (const auto& broken : net_testing::unusable_answers("Connection: close\r\n", "{}")) {
         EXPECT_FALSE(next_probe(broken.text).reachable) << broken.name;
     }
 }
