Ignore announcements that are older than a replica's removal

What callers would see: requests to a replica that has left, and failures, when the store comes back from a copy that still lists it as ready. Cause: a removed replica was added again by any record of its run. Change: the directory keeps the last sequence of a removed run; a record that is not newer is stale. A run that lives writes a newer one with each heartbeat. Result: replica_directory_test.outdated_record_does_not_bring_a_removed_replica_back fails with the comparison removed and passes with it.

--- a/src/proxy/replica_directory.cpp
+++ b/src/proxy/replica_directory.cpp
@@ -31,11 +31,17 @@
     if (marked != leaving_runs_.end() && record.started_ms <= marked->second.started_ms) {
         announcement.leaving = true;
     }
+    const auto order = [](const auto& run) { return std::pair{run.started_ms, run.sequence}; };
+    const auto removed = removed_runs_.find(record.id);
+    // A store that comes back from an older copy lists replicas again that have left. One that
+    // lives announces itself with a later sequence.
+    if (removed != removed_runs_.end() && order(record) <= order(removed->second)) {
+        return announcement_effect::stale;
+    }
     first_seen_.try_emplace(software_version_id(announcement.service, announcement.software), now);
     const auto [it, added] = entries_.try_emplace(announcement.id);
     entry& known = it->second;
     if (added) {
-        const auto removed = removed_runs_.find(record.id);
         if (removed != removed_runs_.end()) {
             known.started_at = record.started_ms > removed->second.started_ms ? now : time_point{};
             removed_runs_.erase(removed);
@@ -47,9 +53,6 @@
         changed_ = true;
         return announcement_effect::added;
     }
-    const auto order = [](const replica_announcement& a) {
-        return std::pair{a.started_ms, a.sequence};
-    };
     if (order(announcement) < order(known.announcement)) {
         return announcement_effect::stale;
     }
@@ -78,6 +81,11 @@
     return restarted ? announcement_effect::restarted : announcement_effect::updated;
 }
 
+replica_directory::removed_run replica_directory::removed_run_of(const entry& item, time_point now)
+{
+    return {item.announcement.started_ms, item.announcement.sequence, now};
+}
+
 bool replica_directory::withdraw(const upstream_id& id, time_point now)
 {
     const auto it = entries_.find(id);
@@ -85,7 +93,7 @@
         return false;
     }
     if (it->second.presence == replica_presence::leaving) {
-        removed_runs_[id] = {it->second.announcement.started_ms, now};
+        removed_runs_[id] = removed_run_of(it->second, now);
         entries_.erase(it);
         return false;
     }
@@ -166,7 +174,7 @@
         const bool expired =
             item.second.presence == replica_presence::withdrawn && now >= item.second.expires_at;
         if (expired) {
-            removed_runs_[item.first] = {item.second.announcement.started_ms, now};
+            removed_runs_[item.first] = removed_run_of(item.second, now);
         }
         return expired;
     });
--- a/src/proxy/replica_directory.hpp
+++ b/src/proxy/replica_directory.hpp
@@ -134,16 +134,18 @@
 private:
     struct removed_run {
         std::uint64_t started_ms{0};
+        std::uint64_t sequence{0}; ///< of its last announcement
         time_point removed_at{};
     };
 
+    [[nodiscard]] static removed_run removed_run_of(const entry& item, time_point now);
     [[nodiscard]] upstream_spec spec_of(const replica_announcement& announcement) const;
 
     directory_settings settings_;
     std::map<failure_domain_id, region_id> regions_;
     std::map<upstream_id, entry> entries_;
     std::map<upstream_id, leaving_run> leaving_runs_;
-    /// Runs of replicas that were removed, so that a new one is recognized.
+    /// Runs of replicas that were removed, so that a new one and outdated records are recognized.
     std::map<upstream_id, removed_run> removed_runs_;
     std::map<version_id, time_point> first_seen_;
     time_point burst_started_at_{}; ///< start of the current burst of withdrawals
--- a/src/proxy/replica_directory_test.cpp
+++ b/src/proxy/replica_directory_test.cpp
@@ -152,6 +152,21 @@
     EXPECT_EQ(directory_.find(upstream_id{"a"}), nullptr);
 }
 
+// Guards against requests to a replica that has left, when the store comes back from a copy that
+// lists it.
+TEST_F(replica_directory_test, outdated_record_does_not_bring_a_removed_replica_back)
+{
+    auto leaving = announcement("a", 100, 5);
+    leaving.leaving = true;
+    announce(leaving);
+    directory_.withdraw(upstream_id{"a"}, clock_.now());
+    EXPECT_EQ(announce(announcement("a", 100, 4)), announcement_effect::stale);
+    directory_.replace_all({announcement("a", 100, 4)}, clock_.now());
+    EXPECT_FALSE(usable("a"));
+    announce(announcement("a", 100, 6));
+    EXPECT_TRUE(usable("a")) << "The run announced itself after its record had expired.";
+}
+
 TEST_F(replica_directory_test, replica_that_says_it_is_leaving_is_not_brought_back_by_old_records)
 {
     announce(announcement("r1"));
