Read the orders of roll-outs with the epoch of their numbers

What callers would see after the store came back from an older copy: a version that was rolled back gets traffic once more, as the operators' rewritten order has another number; an order that the copy holds replaces the newest; operators never learn how a roll-out ended, as its state was lost. Cause: the number of an order is its offset, and a published state counted as published for good. Change: an order carries the epoch in which its number was read. One of a later epoch with the same target is the same order; one that the VM knows to have been followed by another changes nothing. States are published again in a new epoch, after a read of the store as always; what reports of an earlier epoch say of them is ignored. Result: three tests of rollout_tracker_test fail without the comparisons and pass with them. Not tested with processes.

--- a/src/proxy/rollout_tracker.cpp
+++ b/src/proxy/rollout_tracker.cpp
@@ -48,10 +48,16 @@
         const rollout_order& known = it->second.order();
         rollout_order same = order;
         same.number = known.number;
-        const bool repeats = order.number > known.number && known.number != 0 &&
+        same.epoch = known.epoch;
+        const bool later_epoch = order.epoch > known.epoch;
+        const bool repeats = !later_epoch && order.number > known.number && known.number != 0 &&
                              it->second.state() == rollout_state::rolled_back;
+        const past_outcome* past = find_past(order.service, order.target);
+        if (same != known && later_epoch && past != nullptr && past->order == order.number) {
+            return; // The store's copy is from before the known order.
+        }
         if (same == known && !repeats) {
-            it->second.note_order_number(order.number);
+            it->second.note_order_number(order.number, order.epoch);
             apply_kept_outcome(it->second);
             return;
         }
@@ -65,6 +71,17 @@
     domain_paces_.erase(order.service);
 }
 
+void rollout_tracker::begin_epoch(log_epoch epoch)
+{
+    if (epoch <= epoch_) {
+        return;
+    }
+    epoch_ = epoch;
+    for (auto& [service, rollout] : rollouts_) {
+        rollout.forget_published();
+    }
+}
+
 void rollout_tracker::apply_kept_outcome(service_rollout& rollout)
 {
     const rollout_order& order = rollout.order();
@@ -264,7 +281,8 @@
             continue;
         }
         it->second.note_age(item.age, now);
-        if (item.published) {
+        // A VM that has not noticed the store's epoch yet may know of a state that was lost.
+        if (item.published && report.position.epoch >= epoch_) {
             it->second.note_published(*item.published);
         }
         it->second.note_decided(item.state, item.reason);
--- a/src/proxy/rollout_tracker.hpp
+++ b/src/proxy/rollout_tracker.hpp
@@ -61,11 +61,17 @@
     rollout_tracker(process_id self, service_rollout_settings settings);
 
     /// Applies an order. The outcome of the order before, or that it is not known, is kept. A
-    /// target that was rolled back is tried again when it is ordered again.
+    /// target that was rolled back is tried again when it is ordered again. An order that is read
+    /// in a later epoch of the store than the newest known one is no repeat if it has the same
+    /// target: the operators write again what the store has lost. Until then the newest known order
+    /// stays, even if the store's copy holds one of those before it.
     void order(const rollout_order& order, time_point now);
     /// Applies the state that the store holds for a service. A final state of another target than
     /// that of the newest known order is the outcome of another order.
     void note_published(const std::string& service, const std::string& target, rollout_state state);
+    /// The store came back from an older copy, in this epoch: the states that it held may be lost,
+    /// and are published again.
+    void begin_epoch(log_epoch epoch);
     /// Applies the outcome of an order, which may be the newest known one or another.
     void note_outcome(const rollout_outcome& outcome);
     /// Sets the minimum age of the order.
@@ -149,6 +155,7 @@
                          const std::vector<std::string>& routes, const rollout_context& context);
 
     process_id self_;
+    log_epoch epoch_{}; ///< of the store
     service_rollout_settings settings_;
     std::map<std::string, service_rollout> rollouts_; ///< by service
     /// By service and software.
--- a/src/proxy/rollout_tracker_test.cpp
+++ b/src/proxy/rollout_tracker_test.cpp
@@ -198,6 +198,57 @@
 }
 
 // Guards against a VM that was paused over a newer order writing the outcome of the older one.
+// Guards against a bad version that gets traffic once more because the store, back from an older
+// copy, holds its order at another offset.
+TEST_F(rollout_tracker_test, order_written_again_in_a_later_epoch_is_not_a_repeat)
+{
+    const rollout_order bad{"engine", "v2", 20s, 6, log_epoch{1}};
+    tracker_.order(bad, clock_.now());
+    tracker_.note_outcome({"engine", "v2", 6, rollout_state::rolled_back});
+    ASSERT_TRUE(tracker_.is_rolled_back("engine", "v2"));
+    tracker_.order({"engine", "v2", 20s, 8, log_epoch{2}}, clock_.now());
+    EXPECT_TRUE(tracker_.is_rolled_back("engine", "v2"));
+    EXPECT_EQ(tracker_.find("engine")->order().number, 8U);
+    tracker_.order({"engine", "v2", 20s, 9, log_epoch{2}}, clock_.now());
+    EXPECT_FALSE(tracker_.is_rolled_back("engine", "v2")) << "The operators ordered it once more.";
+}
+
+// Guards against a roll-out that is replaced by the one before it, which the store's copy holds.
+TEST_F(rollout_tracker_test, earlier_order_in_the_copy_of_the_store_does_not_replace_the_newest)
+{
+    tracker_.order({"engine", "v2", 20s, 3, log_epoch{1}}, clock_.now());
+    tracker_.note_outcome({"engine", "v2", 3, rollout_state::complete});
+    tracker_.order({"engine", "v3", 20s, 6, log_epoch{1}}, clock_.now());
+    tracker_.note_outcome({"engine", "v3", 6, rollout_state::rolled_back});
+    tracker_.order({"engine", "v2", 20s, 3, log_epoch{2}}, clock_.now());
+    EXPECT_EQ(tracker_.find("engine")->order().target, "v3");
+    tracker_.order({"engine", "v3", 20s, 4, log_epoch{2}}, clock_.now());
+    EXPECT_TRUE(tracker_.is_rolled_back("engine", "v3"));
+    EXPECT_EQ(tracker_.find("engine")->order().number, 4U);
+    tracker_.order({"engine", "v2", 20s, 5, log_epoch{2}}, clock_.now());
+    EXPECT_EQ(tracker_.find("engine")->order().target, "v2");
+}
+
+// Guards against operators that never learn how a roll-out ended, as the store has lost its state.
+TEST_F(rollout_tracker_test, state_that_the_store_may_have_lost_is_published_again)
+{
+    tracker_.order({"engine", "v2", 20s, 3, log_epoch{1}}, clock_.now());
+    tracker_.note_outcome({"engine", "v2", 3, rollout_state::rolled_back});
+    ASSERT_EQ(tracker_.publications(0, clock_.now()).size(), 1U);
+    tracker_.note_published("engine", "v2", rollout_state::rolled_back);
+    clock_.advance(10s);
+    ASSERT_TRUE(tracker_.publications(0, clock_.now()).empty());
+    peer_report earlier;
+    tracker_.fill(earlier, clock_.now());
+    earlier.from = {vm_id{"other"}, 1};
+    earlier.position = {log_epoch{1}, 9};
+    tracker_.begin_epoch(log_epoch{2});
+    tracker_.take(earlier, clock_.now());
+    const auto due = tracker_.publications(0, clock_.now());
+    ASSERT_EQ(due.size(), 1U);
+    EXPECT_EQ(due[0].state, rollout_state::rolled_back);
+}
+
 TEST_F(rollout_tracker_test, publication_of_an_earlier_order_is_told_from_the_newest)
 {
     rollout_tracker tracker{{vm_id{"vm-1"}, 1}, {}};
--- a/src/proxy/service_rollout.cpp
+++ b/src/proxy/service_rollout.cpp
@@ -30,6 +30,13 @@
     started_at_ = std::min(started_at_, now - age);
 }
 
+// Numbers of a later epoch of the store may be lower, as offsets are assigned again.
+void service_rollout::note_order_number(revision number, log_epoch epoch)
+{
+    order_.number = epoch > order_.epoch ? number : std::max(order_.number, number);
+    order_.epoch = std::max(order_.epoch, epoch);
+}
+
 void service_rollout::note_published(rollout_state state)
 {
     if (ended()) {
--- a/src/proxy/service_rollout.hpp
+++ b/src/proxy/service_rollout.hpp
@@ -29,6 +29,7 @@
     std::string target; ///< software version to roll out
     duration period{};  ///< time from the order within which the roll-out must end
     revision number{0}; ///< identifies the order and increases with each one; 0: not known
+    log_epoch epoch{};  ///< of the store, in which this VM has read the number
 
     friend bool operator==(const rollout_order&, const rollout_order&) = default;
 };
@@ -78,7 +79,9 @@
     [[nodiscard]] duration age(time_point now) const { return now - started_at_; }
 
     /// Sets the number of the order, if it was not known or the same order was written again.
-    void note_order_number(revision number) { order_.number = std::max(order_.number, number); }
+    void note_order_number(revision number, log_epoch epoch);
+    /// The store may have lost the state that was written to it.
+    void forget_published() { published_.reset(); }
     /// Applies the age of the order as seen by another VM, which may have received it earlier.
     void note_age(duration age, time_point now);
     /// Applies the state that the store holds. Once a final state is known, it does not change.
