Confirm no configuration while a peer knows one that the store lost

Cause: a read of the copy confirmed its configuration, although the other VMs reported a later one. Change: a configuration is not confirmed while a live VM reports a later one and has read the operators' records no further; confirmations of the current epoch are taken back then, those from before it hold for their time. A VM that starts waits up to a second for the first report of another VM before it confirms, if the store numbers its epochs.

--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -201,7 +201,8 @@
     /// Returns false if the catalog is not newer than the current one.
     bool set_catalog(std::shared_ptr<const proxy_catalog> catalog);
     /// Records that a read of the configuration which began at `asked_at` found nothing newer than
-    /// the current one.
+    /// the current one. It confirms nothing while a peer knows a later configuration that the store
+    /// has lost.
     void confirm(time_point asked_at);
     /// Records that the stream has been read up to `read_to` and that its last record with a change
     /// ends at `changed_at`.
@@ -499,6 +500,9 @@
     /// may be the boot of the VM a moment ago.
     static constexpr time_point never_confirmed{-24h};
     time_point confirmed_at_{never_confirmed};
+    time_point confirmed_before_epoch_{never_confirmed}; ///< last, before the store's epoch began
+    /// Of a read whose confirmation waits for the first report of another VM.
+    std::optional<time_point> unchecked_confirmation_;
     /// How far a stream has been read, and the start of the read that last confirmed it.
     struct followed_stream_state {
         log_position changed_at;
@@ -510,6 +514,10 @@
         return streams_[static_cast<std::size_t>(stream)];
     }
     void confirm(followed_stream stream, log_position changed_at, time_point asked_at);
+    [[nodiscard]] bool configuration_is_lost(time_point now) const;
+    /// Whether this VM has just started and has not heard yet which configuration others know.
+    [[nodiscard]] bool awaits_first_report(time_point now) const;
+    void confirm_unchecked(time_point now);
     std::array<followed_stream_state, 2> streams_{}; ///< indexed by followed_stream
     reading_schedule schedule_;
     bool stopping_{false};
--- a/src/proxy/proxy_core_state.cpp
+++ b/src/proxy/proxy_core_state.cpp
@@ -8,6 +8,14 @@
 
 namespace wagtailhitch {
 
+namespace {
+
+/// Longest time for which a VM that has started waits for the first report of another one. Members
+/// of a failure domain that know each other's addresses report several times in it.
+constexpr duration first_report_wait = 1s;
+
+} // namespace
+
 bool proxy_core::set_catalog(std::shared_ptr<const proxy_catalog> catalog)
 {
     if (catalog_ && catalog->version() <= catalog_->version()) {
@@ -19,13 +27,49 @@
 
 void proxy_core::confirm(time_point asked_at)
 {
-    confirmed_at_ = std::max(confirmed_at_, asked_at);
+    if (awaits_first_report(asked_at)) {
+        unchecked_confirmation_ = asked_at;
+        return;
+    }
+    if (!configuration_is_lost(asked_at)) {
+        confirmed_at_ = std::max(confirmed_at_, asked_at);
+    }
+}
+
+// A store that does not number its epochs loses nothing.
+bool proxy_core::configuration_is_lost(time_point now) const
+{
+    const log_position& read_to = view(followed_stream::operators).read_to;
+    return catalog_ && read_to.epoch != log_epoch{} &&
+           peers_.has_lost_configuration(catalog_->version(), read_to, now);
+}
+
+// A store that numbers its epochs may have come back from an older copy just before this VM read
+// it. The VMs that ran before know of the configurations that it lost.
+bool proxy_core::awaits_first_report(time_point now) const
+{
+    const bool alone = vms_known_ && peers_.known() == 0;
+    return view(followed_stream::operators).read_to.epoch != log_epoch{} && !alone &&
+           peers_.live(now) == 0 && now - started_at_ < first_report_wait;
+}
+
+void proxy_core::confirm_unchecked(time_point now)
+{
+    if (unchecked_confirmation_ && !awaits_first_report(now)) {
+        const time_point asked_at = *std::exchange(unchecked_confirmation_, std::nullopt);
+        if (!configuration_is_lost(now)) {
+            confirmed_at_ = std::max(confirmed_at_, asked_at);
+        }
+    }
 }
 
 void proxy_core::note_position(followed_stream stream, log_position changed_at,
                                log_position read_to)
 {
     followed_stream_state& known = streams_[static_cast<std::size_t>(stream)];
+    if (stream == followed_stream::operators && known.read_to.epoch != read_to.epoch) {
+        confirmed_before_epoch_ = confirmed_at_;
+    }
     known.changed_at = changed_at;
     known.read_to = read_to;
 }
@@ -110,6 +154,10 @@
         return false;
     }
     confirm_by_peer(report);
+    if (configuration_is_lost(now)) {
+        confirmed_at_ = std::min(confirmed_at_, confirmed_before_epoch_);
+    }
+    confirm_unchecked(now);
     rollouts_.take(report, now);
     const bool member = report.scope == report_scope::vm;
     if (!report.calibration.empty()) {
@@ -232,6 +280,7 @@
 std::vector<rollout_publication> proxy_core::tick(time_point now)
 {
     peers_.remove_expired(now);
+    confirm_unchecked(now);
     for (auto& [service, budget] : retry_budgets_) {
         budget.set_capacity(repeat_capacity());
     }
--- a/src/proxy/proxy_core_test.cpp
+++ b/src/proxy/proxy_core_test.cpp
@@ -281,6 +281,85 @@
     EXPECT_GT(until_read(log_epoch{2}), 0s);
 }
 
+/// The store has come back from an older copy, in epoch 2, and lost configuration 2.
+class lost_configuration_test : public proxy_core_test {
+protected:
+    void SetUp() override
+    {
+        deployment_.core.note_position(followed_stream::operators, old_copy, old_copy);
+    }
+    /// Reports of a VM that knows the configuration, and has read up to `position`.
+    void hear_of(revision configuration, log_position position)
+    {
+        peer_report report;
+        report.from = {vm_id{"vm-0"}, 1};
+        report.domain = testing_proxy::make_settings().failure_domain;
+        report.address = "vm-0:1";
+        report.sequence = ++sequence_;
+        report.configuration = configuration;
+        report.position = position;
+        deployment_.core.take_report(report, deployment_.clock.now());
+    }
+    bool admits() const
+    {
+        return deployment_.core.admit(deployment_.request("/report/1"), deployment_.clock.now())
+            .has_value();
+    }
+
+    static constexpr log_position old_copy{log_epoch{2}, 1};
+    std::uint64_t sequence_{0};
+};
+
+// Guards against a withdrawn key that works at a VM which knows the copy only (review/14).
+TEST_F(lost_configuration_test, read_confirms_nothing_while_a_peer_knows_a_later_configuration)
+{
+    const duration validity = testing_proxy::make_settings().key_validity;
+    hear_of(2, {log_epoch{1}, 2});
+    EXPECT_TRUE(admits()) << "The confirmation from before the store's return holds for its time.";
+    advance_with_confirmation(validity + 1ms);
+    hear_of(2, {log_epoch{2}, 1});
+    EXPECT_FALSE(admits());
+    EXPECT_FALSE(deployment_.core.ready(deployment_.clock.now()).ready);
+    deployment_.core.set_catalog(
+        std::make_shared<const proxy_catalog>(testing_proxy::make_contents(2)));
+    advance_with_confirmation(1ms);
+    EXPECT_TRUE(admits()) << "The operators have written it again.";
+}
+
+TEST_F(lost_configuration_test, confirmation_from_after_the_return_is_taken_back)
+{
+    const duration validity = testing_proxy::make_settings().key_validity;
+    advance_with_confirmation(validity + 1ms);
+    ASSERT_TRUE(admits());
+    hear_of(2, {log_epoch{2}, 1});
+    EXPECT_FALSE(admits());
+}
+
+TEST_F(lost_configuration_test, configuration_that_is_still_to_be_read_takes_nothing_back)
+{
+    const duration validity = testing_proxy::make_settings().key_validity;
+    advance_with_confirmation(validity + 1ms);
+    hear_of(2, {log_epoch{2}, 2});
+    EXPECT_TRUE(admits());
+}
+
+// Guards against a VM that lets a withdrawn key run before it has heard from those that know of it.
+TEST_F(lost_configuration_test, started_vm_confirms_nothing_before_the_first_report)
+{
+    auto settings = testing_proxy::make_settings("vm-3");
+    proxy_core started{settings, deployment_.counters, deployment_.clock.now()};
+    started.peers().add_address("vm-0:1", settings.failure_domain);
+    started.note_vms_known();
+    started.set_catalog(std::make_shared<const proxy_catalog>(testing_proxy::make_contents(1)));
+    started.note_position(followed_stream::operators, old_copy, old_copy);
+    started.confirm(deployment_.clock.now());
+    const auto age = [&] { return started.configuration_age(deployment_.clock.now()); };
+    EXPECT_GT(age(), settings.key_validity);
+    deployment_.clock.advance(1s);
+    started.tick(deployment_.clock.now());
+    EXPECT_EQ(age(), 1s) << "None of the VMs that were registered lives.";
+}
+
 TEST_F(proxy_core_test, session_keeps_its_version_when_it_moves_to_another_vm)
 {
     proxy_deployment other{"vm-2"};
