--- a/src/net/message_body.hpp
+++ b/src/net/message_body.hpp
@@ -19,8 +19,8 @@
 
     class reader {
     public:
-        template<bool is_request, class Fields>
-        reader(boost::beast::http::header<is_request, Fields>& /*head*/, value_type& body)
+        template<bool IsRequest, class Fields>
+        reader(boost::beast::http::header<IsRequest, Fields>& /*head*/, value_type& body)
             : body_{body}
         {
         }
