--- a/src/proxy/peer_table.cpp
+++ b/src/proxy/peer_table.cpp
@@ -278,18 +278,24 @@
     return members + static_cast<std::size_t>(domains);
 }
 
-bool peer_table::has_lost_configuration(revision known, log_position position, time_point now) const
+std::optional<std::string> peer_table::address_with_lost_configuration(revision known,
+                                                                       log_position position,
+                                                                       time_point now) const
 {
     const auto beyond = [&](const peer_report& report) {
         return report.configuration > known && report.position <= position;
     };
-    return std::ranges::any_of(members_,
-                               [&](const auto& item) {
-                                   return is_live(item.second, now) && beyond(item.second.report);
-                               }) ||
-           std::ranges::any_of(domains_, [&](const auto& item) {
-               return is_live_domain(item.second, now) && beyond(item.second.report);
-           });
+    for (const auto& [vm, item] : members_) {
+        if (is_live(item, now) && beyond(item.report)) {
+            return item.report.address;
+        }
+    }
+    for (const auto& [domain, item] : domains_) {
+        if (is_live_domain(item, now) && beyond(item.report)) {
+            return item.report.address;
+        }
+    }
+    return std::nullopt;
 }
 
 std::optional<std::string> peer_table::address_of_peer_ahead(followed_stream stream,
--- a/src/proxy/peer_table.hpp
+++ b/src/proxy/peer_table.hpp
@@ -84,10 +84,10 @@
                                                                    bool speaker,
                                                                    time_point now) const;
 
-    /// Whether a live VM has a later configuration than `known`, although it has read the
-    /// operators' records no further than `position`: the store has lost that configuration.
-    [[nodiscard]] bool has_lost_configuration(revision known, log_position position,
-                                              time_point now) const;
+    /// Address of a live VM with a later configuration than `known` that has read the operators'
+    /// records no further than `position`: the store has lost that configuration.
+    [[nodiscard]] std::optional<std::string>
+    address_with_lost_configuration(revision known, log_position position, time_point now) const;
 
 private:
     struct peer {
--- a/src/proxy/proxy_core.hpp
+++ b/src/proxy/proxy_core.hpp
@@ -218,6 +218,8 @@
     /// Address of a VM from which to fetch records that this one misses.
     [[nodiscard]] std::optional<std::string> peer_with_newer_records(followed_stream stream,
                                                                      time_point now) const;
+    /// Address of a VM that knows a later configuration than this one, which the store has lost.
+    [[nodiscard]] std::optional<std::string> peer_with_lost_configuration(time_point now) const;
     /// Time until this VM reads the stream, unless another VM confirms it; see reading_schedule.
     [[nodiscard]] duration until_read(followed_stream stream, time_point now) const;
     /// Pause before the next read of the store after `failures` (at least 1) failed ones in a row.
@@ -514,7 +516,6 @@
         return streams_[static_cast<std::size_t>(stream)];
     }
     void confirm(followed_stream stream, log_position changed_at, time_point asked_at);
-    [[nodiscard]] bool configuration_is_lost(time_point now) const;
     /// Whether this VM has just started and has not heard yet which configuration others know.
     [[nodiscard]] bool awaits_first_report(time_point now) const;
     void confirm_unchecked(time_point now);
--- a/src/proxy/proxy_core_state.cpp
+++ b/src/proxy/proxy_core_state.cpp
@@ -31,17 +31,19 @@
         unchecked_confirmation_ = asked_at;
         return;
     }
-    if (!configuration_is_lost(asked_at)) {
+    if (!peer_with_lost_configuration(asked_at)) {
         confirmed_at_ = std::max(confirmed_at_, asked_at);
     }
 }
 
 // A store that does not number its epochs loses nothing.
-bool proxy_core::configuration_is_lost(time_point now) const
+std::optional<std::string> proxy_core::peer_with_lost_configuration(time_point now) const
 {
     const log_position& read_to = view(followed_stream::operators).read_to;
-    return catalog_ && read_to.epoch != log_epoch{} &&
-           peers_.has_lost_configuration(catalog_->version(), read_to, now);
+    if (!catalog_ || read_to.epoch == log_epoch{}) {
+        return std::nullopt;
+    }
+    return peers_.address_with_lost_configuration(catalog_->version(), read_to, now);
 }
 
 // A store that numbers its epochs may have come back from an older copy just before this VM read
@@ -57,7 +59,7 @@
 {
     if (unchecked_confirmation_ && !awaits_first_report(now)) {
         const time_point asked_at = *std::exchange(unchecked_confirmation_, std::nullopt);
-        if (!configuration_is_lost(now)) {
+        if (!peer_with_lost_configuration(now)) {
             confirmed_at_ = std::max(confirmed_at_, asked_at);
         }
     }
@@ -154,7 +156,7 @@
         return false;
     }
     confirm_by_peer(report);
-    if (configuration_is_lost(now)) {
+    if (peer_with_lost_configuration(now)) {
         confirmed_at_ = std::min(confirmed_at_, confirmed_before_epoch_);
     }
     confirm_unchecked(now);
