--- a/src/net/platform_client.cpp
+++ b/src/net/platform_client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/metrics.hpp"
 #include "net/http_client.hpp"
+#include "net/percent_encoding.hpp"
 #include "net/platform_text.hpp"
 #include "net/upstream_attempt.hpp"
 
@@ -119,7 +120,7 @@
     detail::http_call call;
     call.address = settings.log_address;
     call.method = "POST";
-    call.target = "/v1/streams/" + detail::encode_path_segment(message.stream) + "/records";
+    call.target = "/v1/streams/" + detail::percent_encode(message.stream) + "/records";
     call.headers = {{"Content-Type", "application/json"}};
     call.body = std::move(*body);
     call.first_byte_timeout = settings.append_timeout;
@@ -164,7 +165,7 @@
     follow& to = it->second;
     detail::http_call call;
     call.address = settings.log_address;
-    call.target = "/v1/streams/" + detail::encode_path_segment(stream) +
+    call.target = "/v1/streams/" + detail::percent_encode(stream) +
                   "/records?from=" + std::to_string(to.from) +
                   "&limit=" + std::to_string(settings.max_poll_records) +
                   "&wait_ms=" + std::to_string(to_milliseconds(settings.poll_wait));
--- a/src/net/upstream_attempt.cpp
+++ b/src/net/upstream_attempt.cpp
@@ -1,6 +1,7 @@
 #include "net/upstream_attempt.hpp"
 
 #include "net/json_guard.hpp"
+#include "net/percent_encoding.hpp"
 #include "net/retry_after.hpp"
 
 #include <nlohmann/json.hpp>
@@ -78,26 +79,6 @@
     return out;
 }
 
-std::string encode_path_segment(std::string_view text)
-{
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    constexpr std::string_view unreserved = "-._~";
-    std::string out;
-    for (const char c : text) {
-        const bool plain = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-                           (c >= '0' && c <= '9') || unreserved.find(c) != std::string_view::npos;
-        if (plain) {
-            out.push_back(c);
-            continue;
-        }
-        const auto byte = static_cast<unsigned char>(c);
-        out.push_back('%');
-        out.push_back(digits[byte >> 4U]);
-        out.push_back(digits[byte & 0xfU]);
-    }
-    return out;
-}
-
 upstream_attempt::upstream_attempt(attempt_start message, std::size_t chunk_limit,
                                    std::function<void(input)> emit)
     : message_{std::move(message)}, emit_{std::move(emit)},
@@ -129,7 +110,7 @@
         out.body_limit = 0;
         break;
     case attempt_kind::resume:
-        out.target = "/v1/generations/" + encode_path_segment(message_.generation) +
+        out.target = "/v1/generations/" + percent_encode(message_.generation) +
                      "?from=" + std::to_string(message_.resume_from);
         out.body_limit = 0;
         break;
--- a/src/net/upstream_attempt.hpp
+++ b/src/net/upstream_attempt.hpp
@@ -64,7 +64,4 @@
 /// The caller's chat body with `model` and `stream` replaced.
 std::string engine_body(const nlohmann::json& body, const std::string& version);
 
-/// Percent-encodes everything but unreserved characters.
-std::string encode_path_segment(std::string_view text);
-
 } // namespace wagtailhitch::detail
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/metrics.hpp"
 #include "net/http_client.hpp"
+#include "net/percent_encoding.hpp"
 #include "net/upstream_attempt.hpp"
 #include "net/upstream_probe.hpp"
 
@@ -226,7 +227,7 @@
         message.generation.empty() ? to_string(message.attempt.request) : message.generation;
     call.address = message.address;
     call.method = "DELETE";
-    call.target = "/v1/generations/" + detail::encode_path_segment(name);
+    call.target = "/v1/generations/" + detail::percent_encode(name);
     call.headers = {{"X-Request-Id", name}, {"X-Attempt", std::to_string(message.attempt.number)}};
     call.first_byte_timeout = settings.cancel_timeout;
     call.progress_timeout = settings.cancel_timeout;
