End a read of the log that leads nowhere

`submit` asked for the same page without end, and without a pause, if a log names a later head but returns no record.

--- a/src/cli/log_reader.cpp
+++ b/src/cli/log_reader.cpp
@@ -57,7 +57,13 @@
                 on_event(event);
             }
         }
-        return fold.next_offset() >= page.at("head").get<log_offset>();
+        const auto head = page.at("head").get<log_offset>();
+        if (fold.next_offset() == from && from < head) {
+            return tl::unexpected(unavailable(
+                address_, "The log has records up to offset " + std::to_string(head) +
+                              ", but returned none from " + std::to_string(from) + " on."));
+        }
+        return fold.next_offset() >= head;
     }
     catch (const json::exception& e) {
         return tl::unexpected(unavailable(address_, e.what()));
--- a/src/cli/log_reader.hpp
+++ b/src/cli/log_reader.hpp
@@ -26,7 +26,8 @@
     expected<void> catch_up(config_fold& fold, const event_handler& on_event) const;
 
     /// Applies one page of records to `fold`; returns whether the head was reached. `wait` is how
-    /// long the log may wait for new records.
+    /// long the log may wait for new records. Errors: log_unavailable, also when the page has no
+    /// record although the log has further ones.
     expected<bool> read_page(config_fold& fold, duration wait, const event_handler& on_event) const;
 
     /// Errors: run is `not_run` when nothing can have been appended, otherwise `outcome_unknown`.
