Install the stand-ins' signal handlers before the port is published

Cause: a stand-in wrote its port file before it handled SIGTERM, and a test that has read the port sends the signal at once. The handlers are installed first now.

--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -420,13 +420,14 @@
     server_state server{loop, hooks, {}, {}, 0};
     tcp::acceptor acceptor{context, tcp::endpoint{asio::ip::address_v4::loopback(), options.port}};
     const std::uint16_t port = acceptor.local_endpoint().port();
+    // Whoever reads the port may send a signal at once.
+    asio::signal_set signals{context, SIGTERM, SIGINT};
+    signals.async_wait([&context](error_code, int) { context.stop(); });
     if (!options.port_file.empty() && !write_port_file(options.port_file, port)) {
         std::cerr << "The port file " << options.port_file << " could not be written.\n";
         return 1;
     }
     std::cout << "listening on 127.0.0.1:" << port << std::endl;
-    asio::signal_set signals{context, SIGTERM, SIGINT};
-    signals.async_wait([&context](error_code, int) { context.stop(); });
     accept_next(acceptor, server);
     context.run();
     // Handlers hold connections that refer to `server`; they would have to be destroyed before it.
